--- /dev/null
+++ b/bin/fuzz.mjs
@@ -0,0 +1,24 @@
+/**
+ * Runs the fuzzing tests with a seed and a number of runs of one's own:
+ * `npm run fuzz -- --seed 7 --runs 1000 [PATTERN]`.
+ */
+import {spawnSync} from 'node:child_process';
+import {parseArgs} from 'node:util';
+
+const {values, positionals} = parseArgs({
+  options: {seed: {type: 'string'}, runs: {type: 'string'}},
+  allowPositionals: true,
+});
+const seed = values.seed ?? String(Math.floor(Math.random() * 2 ** 31));
+const runs = values.runs ?? '500';
+console.log(`fuzz: seed ${seed}, ${runs} runs a test`);
+const pattern = positionals[0] ?? 'fuzz.test.ts';
+const ran = spawnSync(
+  'npx',
+  ['jest', '--testTimeout=3600000', '--testPathPatterns', pattern],
+  {
+    stdio: 'inherit',
+    env: {...process.env, FUZZ_SEED: seed, FUZZ_RUNS: runs},
+  },
+);
+process.exit(ran.status ?? 1);
--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -3,7 +3,7 @@
   testEnvironment: 'node',
   testMatch: ['<rootDir>/packages/*/src/**/*.test.ts'],
   transform: {'^.+\\.ts$': '@swc/jest'},
-  testTimeout: 60_000,
+  testTimeout: 120_000,
   maxWorkers: 4,
   ci: true,
 };
--- a/packages/harness/src/demo.ts
+++ b/packages/harness/src/demo.ts
@@ -6,7 +6,8 @@
 import {StepDescription, STEP_DESCRIPTION_SCHEMA} from '@sassafrasspan/core';
 import {CallerAnswer, TestTrainer, callCompletion, callEntry} from './clients';
 import {DEMO_PLAN, formatDemoRules} from './demo_plan';
-import {TestSystem, fetchStatus, waitUntil} from './system';
+import {fetchStatus, waitUntil} from './node_status';
+import {TestSystem} from './system';
 
 const CUSTOMER = 'kyklos';
 const STALENESS_BOUND = 1;
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -2,4 +2,6 @@
 export * from './child_process';
 export * from './clients';
 export * from './demo_plan';
+export * from './node_status';
 export * from './system';
+export * from './tcp_relay';
--- a/packages/harness/src/thin_path.test.ts
+++ b/packages/harness/src/thin_path.test.ts
@@ -4,7 +4,8 @@
  */
 import {TestTrainer, callCompletion, callEntry} from './clients';
 import {DEMO_PLAN, formatDemoRules} from './demo_plan';
-import {TestSystem, fetchStatus, waitUntil} from './system';
+import {fetchStatus, waitUntil} from './node_status';
+import {TestSystem} from './system';
 
 const STEP = {
   prompts: [
--- a/packages/nodes/src/frames.ts
+++ b/packages/nodes/src/frames.ts
@@ -101,6 +101,7 @@
     detail: error.detail,
     outcome: answer.outcome,
     retryAfterMs: answer.retryAfterMs,
+    crashId: '',
   };
 }
 
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -19,12 +19,12 @@
   DEFAULT_HTTP_LIMITS,
   EventLog,
   HttpServer,
-  ListenAddress,
   Metrics,
   SYSTEM_CLOCK,
   createEventLog,
   waitMs,
 } from '@sassafrasspan/runtime';
+import type {NodeAddresses} from '../shared/node_addresses';
 import {ObjectWatch} from '../shared/object_watch';
 import {createOperatorsRoutes} from '../shared/operators_routes';
 import {RulesFeed, createRulesReply} from '../shared/rules_feed';
@@ -46,12 +46,6 @@
   unknown: WireRunState.RUN_STATE_UNKNOWN,
 } as const;
 
-/** Addresses in use by a started node. */
-export interface NodeAddresses {
-  readonly peers: ListenAddress;
-  readonly operators: ListenAddress;
-}
-
 /** A running agent. */
 export class AgentProcess {
   private readonly incarnation = randomUUID();
@@ -273,6 +267,7 @@
       quarantined: this.quarantine.listQuarantined(),
       leaving: this.isLeaving,
       versionHeads: [],
+      suspicions: [],
     };
   }
 }
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -21,7 +21,7 @@
 } from '@sassafrasspan/runtime';
 import {ScoringClient, ScoringService} from '@sassafrasspan/scoring';
 import {TrainerBackend, createTrainerRoutes} from '@sassafrasspan/trainers';
-import type {NodeAddresses} from '../agent/agent_process';
+import type {NodeAddresses} from '../shared/node_addresses';
 import {createOperatorsRoutes} from '../shared/operators_routes';
 import {RulesFeed, createRulesReply} from '../shared/rules_feed';
 import type {EntrySettings} from '../shared/settings_schemas';
@@ -243,6 +243,7 @@
       digests: [],
       quarantined: this.quarantine.listQuarantined(),
       versionHeads: [],
+      suspicions: [],
     };
   }
 
