--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './events/event_table';
 export * from './membership/fleet_view';
 export * from './rollout/cursor';
+export * from './rollout/step_policy';
 export * from './rollout/step_schemas';
 export * from './rollout/step_state';
 export * from './routing/choose_endpoint';
