--- a/packages/core/src/rollout/cursor.ts
+++ b/packages/core/src/rollout/cursor.ts
@@ -4,15 +4,17 @@
  */
 import {Result, err, ok} from 'neverthrow';
 import {ServiceError, createError} from '../errors/error_kinds';
-import {hashText} from '../shared/hash';
+import {decodeBase64Url, encodeBase64Url} from './base64url';
+import {computeDigest} from './digest';
 
-const CURSOR_PREFIX = 'c1';
+const CURSOR_PREFIX = 'c2';
+const CURSOR_PARTS = 3;
 const BITS_PER_BYTE = 8;
 
 /** The set of slots of one step that a trainer has received. */
 export class DeliveredSet {
   private constructor(
-    /** Name of the trainer and step that the set belongs to. */
+    /** Name of the trainer, the step and its description. */
     readonly stepKey: string,
     readonly slotCount: number,
     private readonly bits: Uint8Array,
@@ -30,28 +32,38 @@
     slotCount: number,
     cursor: string,
   ): Result<DeliveredSet, ServiceError> {
-    const set = DeliveredSet.create(stepKey, slotCount);
-    if (cursor === '') return ok(set);
-    const [prefix, body, checksum] = cursor.split('.');
-    const isWhole =
-      prefix === CURSOR_PREFIX &&
-      body !== undefined &&
-      checksum === formatChecksum(stepKey, slotCount, body);
-    if (!isWhole) return err(createError('bad-cursor', 'checksum differs'));
-    set.bits.set(Buffer.from(body, 'base64url'));
-    return ok(set);
+    const empty = DeliveredSet.create(stepKey, slotCount);
+    if (cursor === '') return ok(empty);
+    const parts = cursor.split('.');
+    const [prefix, body, checksum] = parts;
+    if (prefix !== CURSOR_PREFIX || parts.length !== CURSOR_PARTS) {
+      return err(createError('bad-cursor', 'not a cursor of this version'));
+    }
+    if (checksum !== computeChecksum(stepKey, slotCount, body)) {
+      return err(createError('bad-cursor', 'the checksum differs'));
+    }
+    const bits = decodeBase64Url(body);
+    if (bits === undefined || !hasShape(bits, slotCount)) {
+      return err(createError('bad-cursor', 'not a set of slots of this step'));
+    }
+    return ok(new DeliveredSet(stepKey, slotCount, bits));
   }
 
   /** Writes the cursor. */
   encode(): string {
-    const body = Buffer.from(this.bits).toString('base64url');
-    const checksum = formatChecksum(this.stepKey, this.slotCount, body);
+    const body = encodeBase64Url(this.bits);
+    const checksum = computeChecksum(this.stepKey, this.slotCount, body);
     return `${CURSOR_PREFIX}.${body}.${checksum}`;
   }
 
   /** Tells whether a slot has been received. */
   has(slot: number): boolean {
-    return (this.bits[slot >> 3] & (1 << (slot & 7))) !== 0;
+    return hasBit(this.bits, slot);
+  }
+
+  /** Tells whether every slot of another set of the step is in this one. */
+  hasAll(other: DeliveredSet): boolean {
+    return other.bits.every((byte, at) => (byte & ~this.bits[at]) === 0);
   }
 
   /** Returns a set with more slots. */
@@ -61,6 +73,12 @@
     return new DeliveredSet(this.stepKey, this.slotCount, bits);
   }
 
+  /** Returns the slots that are in this set or in another of the step. */
+  merge(other: DeliveredSet): DeliveredSet {
+    const bits = this.bits.map((byte, at) => byte | other.bits[at]);
+    return new DeliveredSet(this.stepKey, this.slotCount, bits);
+  }
+
   /** Returns the number of slots received. */
   count(): number {
     let total = 0;
@@ -71,10 +89,24 @@
   }
 }
 
-function formatChecksum(
+function hasBit(bits: Uint8Array, slot: number): boolean {
+  return (bits[slot >> 3] & (1 << (slot & 7))) !== 0;
+}
+
+/** Checks the length, and that no bit past the last slot is set. */
+function hasShape(bits: Uint8Array, slotCount: number): boolean {
+  if (bits.length !== Math.ceil(slotCount / BITS_PER_BYTE)) return false;
+  const end = bits.length * BITS_PER_BYTE;
+  for (let slot = slotCount; slot < end; slot++) {
+    if (hasBit(bits, slot)) return false;
+  }
+  return true;
+}
+
+function computeChecksum(
   stepKey: string,
   slotCount: number,
   body: string,
 ): string {
-  return hashText(`${stepKey}\u0000${slotCount}\u0000${body}`).toString(36);
+  return computeDigest(`${stepKey}\u0000${slotCount}\u0000${body}`);
 }
--- /dev/null
+++ b/packages/core/src/rollout/slot_copies.ts
@@ -0,0 +1,83 @@
+/** The copies of slots that are being generated. */
+import type {RunningCopy} from './step_policy';
+
+/** A copy under way. */
+export interface SlotCopy {
+  readonly copyId: number;
+  readonly slot: number;
+  readonly startedAtMs: number;
+  /** Tokens received so far. */
+  tokens: number;
+}
+
+/** Tracks the copies of one step. */
+export class SlotCopies {
+  private readonly copies = new Map<number, SlotCopy>();
+  private readonly perSlot = new Map<number, number>();
+  private nextId = 1;
+
+  private constructor() {}
+
+  /** Builds a tracker without copies. */
+  static create(): SlotCopies {
+    return new SlotCopies();
+  }
+
+  /** Notes the start of a copy; returns its number in the step. */
+  startCopy(slot: number, startedAtMs: number): number {
+    const copyId = this.nextId;
+    this.nextId += 1;
+    this.copies.set(copyId, {copyId, slot, startedAtMs, tokens: 0});
+    this.perSlot.set(slot, (this.perSlot.get(slot) ?? 0) + 1);
+    return copyId;
+  }
+
+  /** Adds tokens that a copy has generated; negative ones take back. */
+  addTokens(copyId: number, tokens: number): void {
+    const copy = this.copies.get(copyId);
+    if (copy !== undefined) copy.tokens += tokens;
+  }
+
+  /** Notes the end of a copy; undefined when it has ended before. */
+  endCopy(copyId: number): SlotCopy | undefined {
+    const copy = this.copies.get(copyId);
+    if (copy === undefined) return undefined;
+    this.copies.delete(copyId);
+    const left = (this.perSlot.get(copy.slot) ?? 1) - 1;
+    if (left > 0) this.perSlot.set(copy.slot, left);
+    else this.perSlot.delete(copy.slot);
+    return copy;
+  }
+
+  /** Tells whether a copy of the slot is under way. */
+  hasSlot(slot: number): boolean {
+    return this.perSlot.has(slot);
+  }
+
+  /** Returns the number of copies under way. */
+  count(): number {
+    return this.copies.size;
+  }
+
+  /** Lists the copies under way. */
+  list(): SlotCopy[] {
+    return [...this.copies.values()];
+  }
+
+  /** Describes the copies for a policy. */
+  describe(
+    groupSize: number,
+    predictTokens: (group: number) => number,
+  ): RunningCopy[] {
+    return this.list().map(copy => {
+      const group = Math.floor(copy.slot / groupSize);
+      return {
+        slot: copy.slot,
+        group,
+        expectedTokens: predictTokens(group),
+        startedAtMs: copy.startedAtMs,
+        generatedTokens: copy.tokens,
+      };
+    });
+  }
+}
--- a/packages/core/src/rollout/step_policy.ts
+++ b/packages/core/src/rollout/step_policy.ts
@@ -48,7 +48,7 @@
   readonly slots: number;
   /** Slots that nothing uses, as far as reports tell. */
   readonly freeSlots: number;
-  /** Oldest version that a serving endpoint runs. */
+  /** Newest version that a serving endpoint runs. */
   readonly servedVersion: number;
   /** Smoothed time between published versions; undefined when not known. */
   readonly versionIntervalMs: number | undefined;
--- /dev/null
+++ b/packages/core/src/rollout/step_runs.ts
@@ -0,0 +1,48 @@
+/**
+ * Request ids of a step's runs. They name the step, its description and the
+ * slot, so that a new home of the step finds the answers that agents keep.
+ */
+import {computeDigest} from './digest';
+import {StepDescription, formatStepName} from './step_schemas';
+
+/** Names a step with the exact description that it was opened with. */
+export interface StepIdentity {
+  readonly trainer: string;
+  readonly step: string;
+  readonly description: StepDescription;
+}
+
+/** Returns the key of a step and its description, for cursors and run ids. */
+export function formatStepIdentity(identity: StepIdentity): string {
+  const name = formatStepName(identity.trainer, identity.step);
+  return `${name}/${computeDigest(JSON.stringify(identity.description))}`;
+}
+
+/** Returns what the request ids of a step's runs begin with. */
+export function formatRunPrefix(identityKey: string): string {
+  return `step/${identityKey}/`;
+}
+
+/**
+ * Returns the request id of a copy. The home's name for itself keeps the ids
+ * of two homes apart.
+ */
+export function formatRunId(
+  identityKey: string,
+  slot: number,
+  home: string,
+  copyId: number,
+): string {
+  return `${formatRunPrefix(identityKey)}${slot}/${home}/${copyId}`;
+}
+
+/** Reads the slot of a run; undefined when it belongs to another step. */
+export function parseRunSlot(
+  identityKey: string,
+  requestId: string,
+): number | undefined {
+  const prefix = formatRunPrefix(identityKey);
+  if (!requestId.startsWith(prefix)) return undefined;
+  const [slot] = requestId.slice(prefix.length).split('/');
+  return /^\d+$/.test(slot) ? Number(slot) : undefined;
+}
--- a/packages/core/src/rollout/step_schemas.ts
+++ b/packages/core/src/rollout/step_schemas.ts
@@ -3,9 +3,12 @@
  * them.
  */
 import {z} from 'zod';
+import {ERROR_KINDS} from '../errors/error_kinds';
 
 const MAX_GROUPS = 4_096;
 const MAX_GROUP_SIZE = 256;
+/** A cursor of this many slots still fits a request line. */
+const MAX_SLOTS = 32_768;
 
 /** Schema of one prompt of a step. */
 export const STEP_PROMPT_SCHEMA = z.strictObject({
@@ -16,21 +19,26 @@
 });
 
 /** Schema of the description of a step. */
-export const STEP_DESCRIPTION_SCHEMA = z.strictObject({
-  prompts: z.array(STEP_PROMPT_SCHEMA).min(1).max(MAX_GROUPS),
-  /** Samples generated for each prompt. */
-  groupSize: z.number().int().positive().max(MAX_GROUP_SIZE),
-  /** Name of the scoring service. */
-  scoring: z.string().min(1),
-  /** Largest lag in versions at delivery. */
-  stalenessBound: z.number().int().nonnegative(),
-  temperature: z.number().nonnegative().default(1),
-});
+export const STEP_DESCRIPTION_SCHEMA = z
+  .strictObject({
+    prompts: z.array(STEP_PROMPT_SCHEMA).min(1).max(MAX_GROUPS),
+    /** Samples generated for each prompt. */
+    groupSize: z.number().int().positive().max(MAX_GROUP_SIZE),
+    /** Name of the scoring service. */
+    scoring: z.string().min(1),
+    /** Largest lag in versions at delivery. */
+    stalenessBound: z.number().int().nonnegative(),
+    temperature: z.number().nonnegative().default(1),
+  })
+  .refine(
+    step => step.prompts.length * step.groupSize <= MAX_SLOTS,
+    `a step has at most ${MAX_SLOTS} samples`,
+  );
 
 /** The description of a step. */
 export type StepDescription = z.infer<typeof STEP_DESCRIPTION_SCHEMA>;
 
-/** Schema of the part of a sample that one weight version produced. */
+/** Schema of bytes [from, to) of a sample's UTF-8 text, of one version. */
 export const SAMPLE_SEGMENT_SCHEMA = z.strictObject({
   version: z.number().int(),
   from: z.number().int(),
@@ -51,6 +59,15 @@
 /** A sample as a trainer receives it. */
 export type Sample = z.infer<typeof SAMPLE_SCHEMA>;
 
+/** Schema of a slot that can have no sample. */
+export const FAILED_SLOT_SCHEMA = z.strictObject({
+  slot: z.number().int().nonnegative(),
+  kind: z.enum(ERROR_KINDS),
+});
+
+/** A slot that can have no sample. */
+export type FailedSlot = z.infer<typeof FAILED_SLOT_SCHEMA>;
+
 /** Schema of the answer to a pull. */
 export const PULL_REPLY_SCHEMA = z.strictObject({
   samples: z.array(SAMPLE_SCHEMA),
@@ -58,9 +75,13 @@
   /** Slots received, these samples included. */
   delivered: z.number().int(),
   total: z.number().int(),
+  /** Whether every slot has been received or has failed for good. */
   complete: z.boolean(),
   /** Samples of this step dropped as too old so far. */
   droppedStale: z.number().int(),
+  /** Version that staleness was checked against. */
+  version: z.number().int(),
+  failed: z.array(FAILED_SLOT_SCHEMA),
 });
 
 /** The answer to a pull. */
--- a/packages/core/src/rollout/step_state.ts
+++ b/packages/core/src/rollout/step_state.ts
@@ -1,27 +1,37 @@
 /**
  * The state of one rollout step at its home entry: which slots still need a
  * sample, which are being generated, and which wait to be pulled.
+ *
+ * The trainer's cursor is the truth of what it has received. The state only
+ * remembers which slots it need not work on, and may be lost at any time.
  */
 import {Result, err, ok} from 'neverthrow';
-import type {ServiceError} from '../errors/error_kinds';
+import {ErrorKind, ServiceError, createError} from '../errors/error_kinds';
 import {DeliveredSet} from './cursor';
+import {LengthPredictor} from './length_predictor';
+import {isStale} from './sample_checks';
+import {SlotCopies, SlotCopy} from './slot_copies';
+import type {MissingSlot, StepDemand} from './step_policy';
+import {formatStepIdentity} from './step_runs';
 import {
+  FailedSlot,
   PullReply,
   Sample,
   StepDescription,
   formatStepName,
 } from './step_schemas';
 
-/** Work for one slot. */
+/** Work for one copy of a slot. */
 export interface SlotWork {
+  readonly copyId: number;
   readonly slot: number;
   readonly group: number;
   readonly index: number;
   readonly prompt: string;
   readonly maxTokens: number;
   readonly expectedTokens: number;
-  /** How often the slot has been started before. */
-  readonly generation: number;
+  /** Oldest weight version that is not over the staleness bound. */
+  readonly minVersion: number;
 }
 
 /** What a trainer says when it pulls. */
@@ -32,174 +42,275 @@
   readonly maxSamples: number;
 }
 
+/** A pull whose cursor has been read and taken in. */
+export interface OpenPull {
+  readonly delivered: DeliveredSet;
+  readonly maxSamples: number;
+}
+
+/** What a step is built from. */
+export interface StepOptions {
+  readonly trainer: string;
+  readonly step: string;
+  readonly customer: string;
+  readonly service: string;
+  readonly description: StepDescription;
+  /** Largest lag in versions at delivery that the step states. */
+  readonly stalenessBound: number;
+  /** Returns the bound that the rules in force state, if one does. */
+  readRuleBound(): number | undefined;
+}
+
 /** One step at its home. */
 export class StepState {
+  /** Name of the step and of its exact description. */
+  readonly identityKey: string;
   private readonly ready = new Map<number, Sample>();
-  private readonly inFlight = new Set<number>();
-  private readonly generations: number[];
+  private readonly copies = SlotCopies.create();
+  private readonly failed = new Map<number, ErrorKind>();
+  private readonly retryAtMs = new Map<number, number>();
+  private readonly predictor: LengthPredictor;
   private acknowledged: DeliveredSet;
+  private isLagging = false;
   private droppedStale = 0;
-  private trainerVersion = 0;
-
-  private constructor(
-    readonly trainer: string,
-    readonly step: string,
-    readonly customer: string,
-    readonly service: string,
-    readonly description: StepDescription,
-    readonly stalenessBound: number,
-  ) {
+  private droppedSlots: number[] = [];
+  private newestVersion = 0;
+
+  private constructor(readonly options: StepOptions) {
+    this.identityKey = formatStepIdentity(options);
     this.acknowledged = DeliveredSet.create(
-      formatStepName(trainer, step),
+      this.identityKey,
       this.countSlots(),
     );
-    this.generations = new Array<number>(this.countSlots()).fill(0);
+    this.predictor = LengthPredictor.create(options.description.prompts);
   }
 
   /** Builds a step of which no slot has been generated. */
   static create(options: StepOptions): StepState {
-    return new StepState(
-      options.trainer,
-      options.step,
-      options.customer,
-      options.service,
-      options.description,
-      options.stalenessBound,
-    );
+    return new StepState(options);
+  }
+
+  /** Returns the name of the trainer and step. */
+  getName(): string {
+    return formatStepName(this.options.trainer, this.options.step);
+  }
+
+  /** Returns the stricter of the step's bound and that of the rules. */
+  private readBound(): number {
+    const {stalenessBound} = this.options;
+    return Math.min(stalenessBound, this.options.readRuleBound() ?? Infinity);
   }
 
   /** Returns the number of slots of the step. */
   countSlots(): number {
-    return this.description.prompts.length * this.description.groupSize;
+    const {prompts, groupSize} = this.options.description;
+    return prompts.length * groupSize;
   }
 
-  /** Takes up to `limit` slots that need a sample, and marks them started. */
-  takeWork(limit: number): SlotWork[] {
-    const taken: SlotWork[] = [];
+  /** Describes what the step needs, for a policy. */
+  describeDemand(idleWeight: number, nowMs: number): StepDemand {
+    this.dropStale();
+    const {groupSize} = this.options.description;
+    return {
+      stepName: this.getName(),
+      idleWeight,
+      stalenessBound: this.readBound(),
+      trainerVersion: this.newestVersion,
+      total: this.countSlots(),
+      missing: this.listMissing(nowMs),
+      running: this.copies.describe(groupSize, group =>
+        this.predictor.predictTokens(group),
+      ),
+    };
+  }
+
+  private listMissing(nowMs: number): MissingSlot[] {
+    const missing: MissingSlot[] = [];
     for (let slot = 0; slot < this.countSlots(); slot++) {
-      if (taken.length >= limit) break;
-      if (!this.needsSample(slot)) continue;
-      this.inFlight.add(slot);
-      taken.push(this.createWork(slot));
-      this.generations[slot] += 1;
+      if (!this.needsCopy(slot)) continue;
+      if ((this.retryAtMs.get(slot) ?? nowMs) > nowMs) continue;
+      const group = this.findGroup(slot);
+      const expectedTokens = this.predictor.predictTokens(group);
+      missing.push({slot, group, expectedTokens});
     }
-    return taken;
+    return missing;
   }
 
-  private needsSample(slot: number): boolean {
-    if (this.acknowledged.has(slot)) return false;
-    return !this.ready.has(slot) && !this.inFlight.has(slot);
+  private findGroup(slot: number): number {
+    return Math.floor(slot / this.options.description.groupSize);
   }
 
-  private createWork(slot: number): SlotWork {
-    const group = Math.floor(slot / this.description.groupSize);
-    const prompt = this.description.prompts[group];
+  /** Tells whether a slot needs no work. */
+  private isSettled(slot: number): boolean {
+    if (this.acknowledged.has(slot)) return true;
+    return this.ready.has(slot) || this.failed.has(slot);
+  }
+
+  /** Tells whether a slot has neither a sample nor a copy under way. */
+  needsCopy(slot: number): boolean {
+    return !this.isSettled(slot) && !this.copies.hasSlot(slot);
+  }
+
+  /** Starts a copy of a slot. */
+  startCopy(slot: number, nowMs: number): SlotWork {
+    const {groupSize, prompts} = this.options.description;
+    const group = this.findGroup(slot);
+    const {prompt, maxTokens} = prompts[group];
     return {
+      copyId: this.copies.startCopy(slot, nowMs),
       slot,
       group,
-      index: slot % this.description.groupSize,
-      prompt: prompt.prompt,
-      maxTokens: prompt.maxTokens,
-      expectedTokens: prompt.expectedTokens ?? prompt.maxTokens,
-      generation: this.generations[slot],
+      index: slot % groupSize,
+      prompt,
+      maxTokens,
+      expectedTokens: Math.ceil(this.predictor.predictTokens(group)),
+      minVersion: Math.max(0, this.newestVersion - this.readBound()),
     };
   }
 
-  /** Returns the number of slots that are being generated. */
+  /** Adds tokens that a copy has generated; negative ones take back. */
+  addTokens(copyId: number, tokens: number): void {
+    this.copies.addTokens(copyId, tokens);
+  }
+
+  /** Returns the number of copies that are being generated. */
   countInFlight(): number {
-    return this.inFlight.size;
+    return this.copies.count();
   }
 
   /** Takes a finished sample; the first whole one wins its slot. */
-  addSample(sample: Sample): boolean {
-    this.inFlight.delete(sample.slot);
-    if (this.acknowledged.has(sample.slot)) return false;
-    if (this.ready.has(sample.slot)) return false;
+  addSample(copyId: number, sample: Sample, tokens: number): boolean {
+    this.copies.endCopy(copyId);
+    if (this.isSettled(sample.slot)) return false;
+    this.predictor.observeLength(sample.group, tokens);
     this.ready.set(sample.slot, sample);
     return true;
   }
 
-  /** Notes that a slot's work failed and has to be done again. */
-  releaseSlot(slot: number): void {
-    this.inFlight.delete(slot);
+  /** Notes that a copy failed; its slot is not started before a time. */
+  failCopy(copyId: number, retryAtMs: number): void {
+    const copy = this.copies.endCopy(copyId);
+    if (copy !== undefined) this.retryAtMs.set(copy.slot, retryAtMs);
+  }
+
+  /** Notes that a slot can have no sample, whoever generates it. */
+  failSlot(copyId: number, kind: ErrorKind): void {
+    const copy = this.copies.endCopy(copyId);
+    if (copy !== undefined && !this.isSettled(copy.slot)) {
+      this.failed.set(copy.slot, kind);
+    }
+  }
+
+  /** Ends the copies whose slot has its sample, and returns them. */
+  takeObsolete(): SlotCopy[] {
+    const obsolete = this.copies
+      .list()
+      .filter(copy => this.isSettled(copy.slot));
+    for (const copy of obsolete) this.copies.endCopy(copy.copyId);
+    return obsolete;
   }
 
-  /** Answers a pull: samples that the cursor does not hold yet. */
-  pullSamples(request: PullRequest): Result<PullReply, ServiceError> {
-    const name = formatStepName(this.trainer, this.step);
+  /** Takes in a version that the trainer stated or published. */
+  observeVersion(version: number): void {
+    this.newestVersion = Math.max(this.newestVersion, version);
+  }
+
+  /** Reads the cursor of a pull and takes it in, once a pull. */
+  openPull(request: PullRequest): Result<OpenPull, ServiceError> {
     const decoded = DeliveredSet.decode(
-      name,
+      this.identityKey,
       this.countSlots(),
       request.cursor,
     );
     if (decoded.isErr()) return err(decoded.error);
+    this.observeVersion(request.trainerVersion);
     this.applyCursor(decoded.value);
-    this.trainerVersion = Math.max(this.trainerVersion, request.trainerVersion);
-    this.dropStale();
-    const samples = [...this.ready.values()].slice(0, request.maxSamples);
-    return ok(this.createReply(decoded.value, samples));
+    const {maxSamples} = request;
+    return ok({delivered: decoded.value, maxSamples});
   }
 
-  /** Forgets samples that the trainer has. */
+  /**
+   * Forgets samples that the trainer has. A cursor that lacks acknowledged
+   * slots is late, or comes from a trainer restored from a checkpoint; only
+   * the second such cursor in a row opens those slots again.
+   */
   private applyCursor(delivered: DeliveredSet): void {
-    this.acknowledged = delivered;
+    const isLagging = !delivered.hasAll(this.acknowledged);
+    const isRestored = isLagging && this.isLagging;
+    this.isLagging = isLagging && !isRestored;
+    this.acknowledged =
+      isLagging && !isRestored ? delivered.merge(this.acknowledged) : delivered;
     for (const slot of this.ready.keys()) {
       if (delivered.has(slot)) this.ready.delete(slot);
     }
   }
 
+  /** Answers a pull with samples that its cursor does not hold. */
+  answerPull(pull: OpenPull): PullReply {
+    this.dropStale();
+    const samples = [...this.ready.values()]
+      .filter(sample => !pull.delivered.has(sample.slot))
+      .slice(0, pull.maxSamples);
+    const slots = samples.map(sample => sample.slot);
+    const next = pull.delivered.addSlots(slots);
+    const failed = this.listFailed(next);
+    const delivered = next.count();
+    return {
+      samples,
+      cursor: next.encode(),
+      delivered,
+      total: this.countSlots(),
+      complete: delivered + failed.length === this.countSlots(),
+      droppedStale: this.droppedStale,
+      version: this.newestVersion,
+      failed,
+    };
+  }
+
+  private listFailed(delivered: DeliveredSet): FailedSlot[] {
+    return [...this.failed]
+      .filter(([slot]) => !delivered.has(slot))
+      .map(([slot, kind]) => ({slot, kind}));
+  }
+
   private dropStale(): void {
+    const bound = this.readBound();
     for (const [slot, sample] of this.ready) {
-      if (!isStale(sample, this.trainerVersion, this.stalenessBound)) continue;
+      if (!isStale(sample, this.newestVersion, bound)) continue;
       this.ready.delete(slot);
       this.droppedStale += 1;
+      this.droppedSlots.push(slot);
     }
   }
 
-  private createReply(
-    delivered: DeliveredSet,
-    samples: readonly Sample[],
-  ): PullReply {
-    const next = delivered.addSlots(samples.map(sample => sample.slot));
-    const count = next.count();
-    return {
-      samples: [...samples],
-      cursor: next.encode(),
-      delivered: count,
-      total: this.countSlots(),
-      complete: count === this.countSlots(),
-      droppedStale: this.droppedStale,
-    };
+  /** Returns the slots whose sample was dropped since the last call. */
+  takeDropped(): number[] {
+    const slots = this.droppedSlots;
+    this.droppedSlots = [];
+    return slots;
+  }
+
+  /** Tells whether the trainer has acknowledged all that can be had. */
+  isAcknowledged(): boolean {
+    const failed = this.listFailed(this.acknowledged).length;
+    return this.acknowledged.count() + failed === this.countSlots();
   }
 
-  /** Tells whether the trainer has acknowledged every slot. */
-  isComplete(): boolean {
-    return this.acknowledged.count() === this.countSlots();
+  /** Tells whether a sample of the slot waits to be pulled. */
+  hasReady(slot: number): boolean {
+    return this.ready.has(slot);
   }
 
   /** Returns the number of samples that wait to be pulled. */
   countReady(): number {
     return this.ready.size;
   }
-}
 
-/** What a step is built from. */
-export interface StepOptions {
-  readonly trainer: string;
-  readonly step: string;
-  readonly customer: string;
-  readonly service: string;
-  readonly description: StepDescription;
-  /** Largest lag in versions at delivery. */
-  readonly stalenessBound: number;
-}
-
-/** Tells whether a sample's oldest segment is behind the bound. */
-export function isStale(
-  sample: Sample,
-  trainerVersion: number,
-  stalenessBound: number,
-): boolean {
-  const oldest = Math.min(...sample.segments.map(part => part.version));
-  return trainerVersion - oldest > stalenessBound;
+  /** Checks that a description is the one that the step was opened with. */
+  checkDescription(description: StepDescription): Result<void, ServiceError> {
+    const {trainer, step} = this.options;
+    const key = formatStepIdentity({trainer, step, description});
+    if (key === this.identityKey) return ok(undefined);
+    return err(createError('conflict', 'the step has another description'));
+  }
 }
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -63,6 +63,13 @@
   readonly budgetMs: number;
   /** 0 is served first. */
   readonly priority: number;
+  /** Oldest weight version that may run the work; without it any. */
+  readonly minVersion?: number;
+  /**
+   * Takes the name of the agent that keeps the whole answer until it is
+   * acknowledged; without it the answer is acknowledged at its end.
+   */
+  readonly keepAnswer?: (agent: string) => void;
 }
 
 /** What a dispatcher is built from. */
@@ -162,6 +169,7 @@
       if (chosen.isErr()) return withOutcome(chosen.error, outcome);
       const ended = await this.runAttempt(state, chosen.value, number);
       if (ended.type === 'whole') {
+        state.request.keepAnswer?.(chosen.value.agent);
         this.retryBudget.recordSuccess();
         state.sink.finish(ended.end);
         return undefined;
@@ -198,7 +206,9 @@
       excluded: state.excluded,
       avoidDomain: state.avoidDomain,
     };
-    const serving = this.options.fleet.listServing(request.service, nowMs);
+    const serving = this.options.fleet
+      .listServing(request.service, nowMs)
+      .filter(item => item.weightVersion >= (request.minVersion ?? 0));
     const {random} = this.options;
     const chosen = chooseEndpoint(route, serving, random);
     if (chosen.isOk() || state.avoidDomain === undefined) return chosen;
@@ -235,6 +245,7 @@
     const attempt = RunAttempt.create({
       agent,
       request: this.createRunRequest(state, target, number),
+      keepsAnswer: state.request.keepAnswer !== undefined,
       sink: {
         setHead: head => state.sink.setHead(head),
         appendChunk: chunk => {
@@ -275,7 +286,7 @@
       idempotencyKey: request.idempotencyKey,
       fingerprint: request.fingerprint,
       expectedTokens: request.expectedTokens,
-      minVersion: 0,
+      minVersion: request.minVersion ?? 0,
       entry: this.options.entry,
       prefixKey: request.prefixKey,
       work: encodeWork(request.work),
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -29,6 +29,7 @@
 import {EntryCallers} from './entry_callers';
 import {NodeDirectory} from './node_directory';
 import {createMissingScoring} from './step_runner';
+import {StepPool} from './step_pool';
 import {StepService} from './step_service';
 import {VersionPublisher} from './version_publisher';
 
@@ -199,28 +200,30 @@
   private createSteps(): StepService {
     return StepService.create({
       entry: this.settings.name,
+      incarnation: this.incarnation,
       directory: this.directory,
       dispatcher: this.dispatcher,
       store: this.store,
       rules: this.rules,
+      clock: SYSTEM_CLOCK,
       log: this.log,
+      pool: StepPool.create({fleet: this.fleet, clock: SYSTEM_CLOCK}),
       findScoring: name => this.scoring.get(name) ?? createMissingScoring(name),
-      readConcurrency: service => this.countSlots(service),
     });
   }
 
-  private countSlots(service: string): number {
-    const nowMs = SYSTEM_CLOCK.readMonotonicMs();
-    const serving = this.fleet.listServing(service, nowMs);
-    return serving.reduce((sum, endpoint) => sum + endpoint.slots, 0);
-  }
-
   private createTrainerBackend(): TrainerBackend {
     return {
       authenticate: keySha256 => this.callers.authenticate(keySha256),
       putStep: (name, description) => this.steps.putStep(name, description),
       pullSamples: (name, pull) => this.steps.pullSamples(name, pull),
-      publishVersion: item => this.publisher.publishVersion(item),
+      publishVersion: async item => {
+        const published = await this.publisher.publishVersion(item);
+        if (published.isErr()) return published;
+        const {service, version} = published.value;
+        await this.steps.publishVersion(service, version);
+        return published;
+      },
     };
   }
 
--- a/packages/server/src/entry/run_attempt.ts
+++ b/packages/server/src/entry/run_attempt.ts
@@ -54,6 +54,8 @@
 export interface RunAttemptOptions {
   readonly agent: AgentPeer;
   readonly request: RunRequest;
+  /** Whether a whole answer stays at the agent until acknowledged. */
+  readonly keepsAnswer: boolean;
   readonly sink: AttemptSink;
   /** Called when the answer continues over a new connection. */
   onResume(reason: string): void;
@@ -97,7 +99,10 @@
         ),
       );
     }
-    agent.acknowledgeRun(request.requestId, ended.result.type !== 'whole');
+    const isWhole = ended.result.type === 'whole';
+    if (!isWhole || !this.options.keepsAnswer) {
+      agent.acknowledgeRun(request.requestId, !isWhole);
+    }
     return ended.result;
   }
 
--- a/packages/server/src/entry/step_runner.ts
+++ b/packages/server/src/entry/step_runner.ts
@@ -1,45 +1,67 @@
 /**
- * Generates and scores the samples of one step at its home entry.
+ * Generates and scores the samples of one step at its home entry, as the
+ * policy of its pool tells it to.
  */
+import type {AnswerSink} from '@sassafrasspan/callers';
 import {
-  AnswerEnd,
+  AnswerCollector,
+  Clock,
+  CollectedAnswer,
   ErrorKind,
   RulesHolder,
   Sample,
   ServiceError,
+  SlotStart,
   SlotWork,
   StepState,
   createError,
-  formatStepName,
+  formatRunId,
   hashText,
 } from '@sassafrasspan/core';
-import type {EventLog} from '@sassafrasspan/runtime';
+import type {AgentPeer} from '@sassafrasspan/nodes';
+import {EventLog, waitMs} from '@sassafrasspan/runtime';
 import type {ScoringService} from '@sassafrasspan/scoring';
 import {Result, err, ok} from 'neverthrow';
 import type {DispatchRequest, Dispatcher} from './dispatcher';
+import {AnswerAdoption, KeptRun, listKeptRuns} from './step_adopter';
 
 const GENERATION_BUDGET_MS = 600_000;
 const RETRY_DELAY_MS = 200;
+const SCORE_ATTEMPTS = 6;
+const LOWEST_PRIORITY = 9;
+
+/** Failures that a slot meets again wherever it is generated. */
+const FINAL_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
+  'quarantined',
+  'bad-request',
+]);
 
 /** What a runner is built from. */
 export interface StepRunnerOptions {
+  /** Name of this life of the entry. */
+  readonly home: string;
   readonly state: StepState;
   readonly dispatcher: Dispatcher;
   readonly scoring: ScoringService;
   readonly rules: RulesHolder;
+  readonly clock: Clock;
   readonly log: EventLog;
-  /** Returns how many samples may be generated at once. */
-  readConcurrency(): number;
+  findAgent(name: string): AgentPeer | undefined;
+  /** Called when slots have become free. */
+  handleChange(): void;
 }
 
-/** A generated answer. */
-interface Generated {
-  readonly text: string;
-  readonly end: AnswerEnd;
+/** A copy under way. */
+interface RunningWork {
+  cancel(): void;
 }
 
 /** Runs one step. */
 export class StepRunner {
+  private readonly running = new Map<number, RunningWork>();
+  /** What releases the kept answer of each ready sample. */
+  private readonly kept = new Map<number, () => void>();
+  private adoption: 'none' | 'running' | 'done' = 'none';
   private isStopped = false;
 
   private constructor(private readonly options: StepRunnerOptions) {}
@@ -54,14 +76,14 @@
     return this.options.state;
   }
 
-  /** Starts work for slots that need a sample. */
-  advance(): void {
-    if (this.isStopped) return;
-    const {state} = this.options;
-    const limit = this.options.readConcurrency() - state.countInFlight();
-    for (const work of state.takeWork(Math.max(0, limit))) {
-      void this.fillSlot(work);
-    }
+  /** Tells whether slots may be started. */
+  canStart(): boolean {
+    return !this.isStopped && this.adoption !== 'running';
+  }
+
+  /** Tells whether kept answers have not been looked for yet. */
+  needsAdoption(): boolean {
+    return this.adoption === 'none';
   }
 
   /** Starts no more work. */
@@ -69,92 +91,195 @@
     this.isStopped = true;
   }
 
-  private async fillSlot(work: SlotWork): Promise<void> {
-    const sample = await this.createSample(work);
-    if (sample.isOk()) {
-      this.options.state.addSample(sample.value);
-      return this.advance();
+  /** Ends the work of a step that nobody needs any longer. */
+  release(): void {
+    this.stop();
+    for (const work of this.running.values()) work.cancel();
+    this.running.clear();
+    for (const releaseAnswer of this.kept.values()) releaseAnswer();
+    this.kept.clear();
+  }
+
+  /** Takes over, once, what an earlier home has left at the agents. */
+  async adoptAnswers(agents: readonly AgentPeer[]): Promise<void> {
+    if (this.adoption !== 'none') return;
+    this.adoption = 'running';
+    const {identityKey} = this.options.state;
+    for (const run of await listKeptRuns(identityKey, agents)) {
+      if (!this.isStopped) this.adoptRun(run);
     }
-    const {kind, detail} = sample.error;
-    const {slot} = work;
-    this.options.log.writeEvent('sample-failed', {slot, kind, detail});
-    setTimeout(() => {
-      this.options.state.releaseSlot(slot);
-      this.advance();
-    }, this.readDelayMs(sample.error));
+    this.adoption = 'done';
+    this.options.handleChange();
+  }
+
+  private adoptRun(run: KeptRun): void {
+    const {state, home} = this.options;
+    if (run.slot >= state.countSlots() || !state.needsCopy(run.slot)) return;
+    const work = state.startCopy(run.slot, this.readNowMs());
+    this.running.set(work.copyId, {cancel: () => undefined});
+    const releaseAnswer = () => run.agent.acknowledgeRun(run.requestId, false);
+    void AnswerAdoption.create(run, home)
+      .readAnswer()
+      .then(answer => this.finishCopy(work, answer, releaseAnswer));
+    const {slot} = run;
+    this.options.log.writeEvent('sample-recovered', {slot});
+  }
+
+  /** Starts a copy of a slot. */
+  startSlot(start: SlotStart): void {
+    const work = this.options.state.startCopy(start.slot, this.readNowMs());
+    const request = this.createRequest(work, start.isTail);
+    let releaseAnswer = () => undefined as void;
+    const sink = this.createSink(work, answer => {
+      void this.finishCopy(work, answer, () => releaseAnswer());
+    });
+    const handle = this.options.dispatcher.dispatch(
+      {
+        ...request,
+        keepAnswer: agent => {
+          releaseAnswer = () => this.releaseAnswer(agent, request.requestId);
+        },
+      },
+      sink,
+    );
+    this.running.set(work.copyId, handle);
+  }
+
+  private releaseAnswer(agent: string, requestId: string): void {
+    this.options.findAgent(agent)?.acknowledgeRun(requestId, false);
+  }
+
+  private createSink(
+    work: SlotWork,
+    finish: (answer: Result<CollectedAnswer, ServiceError>) => void,
+  ): AnswerSink {
+    const {state} = this.options;
+    const collector = AnswerCollector.create();
+    return {
+      setHead: () => undefined,
+      appendChunk: chunk => {
+        collector.appendChunk(chunk);
+        state.addTokens(work.copyId, chunk.tokens);
+      },
+      finish: end => finish(collector.finish(end)),
+      fail: error => finish(err(error)),
+      reset: () => {
+        state.addTokens(work.copyId, -collector.reset());
+        return true;
+      },
+    };
+  }
+
+  /** Scores an answer and offers it as the sample of its slot. */
+  private async finishCopy(
+    work: SlotWork,
+    answer: Result<CollectedAnswer, ServiceError>,
+    releaseAnswer: () => void,
+  ): Promise<void> {
+    const sample = answer.isOk()
+      ? await this.scoreAnswer(work, answer.value)
+      : err(answer.error);
+    if (!this.running.delete(work.copyId)) return releaseAnswer();
+    if (sample.isErr()) this.failCopy(work, sample.error);
+    else if (this.takeSample(work, sample.value, answer)) {
+      this.kept.set(work.slot, releaseAnswer);
+    } else releaseAnswer();
+    this.settle();
+    this.options.handleChange();
+  }
+
+  private takeSample(
+    work: SlotWork,
+    sample: Sample,
+    answer: Result<CollectedAnswer, ServiceError>,
+  ): boolean {
+    const tokens = answer.map(found => found.tokens).unwrapOr(0);
+    return this.options.state.addSample(work.copyId, sample, tokens);
   }
 
-  private readDelayMs(error: ServiceError): number {
-    return error.retryAfterMs ?? RETRY_DELAY_MS;
+  private failCopy(work: SlotWork, error: ServiceError): void {
+    const {state, log} = this.options;
+    const {kind, detail, retryAfterMs} = error;
+    const {copyId, slot} = work;
+    log.writeEvent('sample-failed', {slot, kind, detail});
+    if (FINAL_KINDS.has(kind)) return state.failSlot(copyId, kind);
+    const delayMs = retryAfterMs ?? RETRY_DELAY_MS;
+    state.failCopy(copyId, this.readNowMs() + delayMs);
+  }
+
+  /** Cancels the losers of decided slots and releases kept answers. */
+  settle(): void {
+    const {state, log} = this.options;
+    for (const slot of state.takeDropped()) {
+      log.writeEvent('sample-stale', {step: state.getName(), slot});
+    }
+    for (const {copyId} of state.takeObsolete()) {
+      this.running.get(copyId)?.cancel();
+      this.running.delete(copyId);
+    }
+    for (const [slot, releaseAnswer] of this.kept) {
+      if (state.hasReady(slot)) continue;
+      this.kept.delete(slot);
+      releaseAnswer();
+    }
   }
 
-  private async createSample(
+  /** Scores are pure, so a failed call is made again. */
+  private async scoreAnswer(
     work: SlotWork,
+    answer: CollectedAnswer,
   ): Promise<Result<Sample, ServiceError>> {
-    const generated = await this.generate(work);
-    if (generated.isErr()) return err(generated.error);
-    const {text, end} = generated.value;
     const {prompt, slot, group, index} = work;
-    const score = await this.options.scoring.scoreSample({prompt, text});
-    return score.map(value => ({
-      slot,
-      group,
-      index,
-      text,
-      score: value,
-      finishReason: end.finishReason,
-      segments: [...end.segments],
-    }));
-  }
-
-  private generate(work: SlotWork): Promise<Result<Generated, ServiceError>> {
-    return new Promise(resolve => {
-      let chunks: Uint8Array[] = [];
-      this.options.dispatcher.dispatch(this.createRequest(work), {
-        setHead: () => undefined,
-        appendChunk: chunk => {
-          chunks.push(chunk.data);
-        },
-        finish: end => {
-          const text = Buffer.concat(chunks).toString('utf8');
-          resolve(ok({text, end}));
-        },
-        fail: error => resolve(err(error)),
-        reset: () => {
-          chunks = [];
-          return true;
-        },
-      });
-    });
+    const {text, finishReason, segments} = answer;
+    let error = createError('internal', 'not scored');
+    for (let attempt = 0; attempt < SCORE_ATTEMPTS; attempt++) {
+      if (attempt > 0) await waitMs(RETRY_DELAY_MS * attempt);
+      const score = await this.options.scoring.scoreSample({prompt, text});
+      if (score.isOk()) {
+        const value = score.value;
+        return ok({
+          ...{slot, group, index, text, score: value},
+          ...{finishReason, segments},
+        });
+      }
+      error = score.error;
+    }
+    return err(error);
   }
 
-  private createRequest(work: SlotWork): DispatchRequest {
-    const {state} = this.options;
-    const {customer, service, trainer, step} = state;
-    const name = formatStepName(trainer, step);
+  private createRequest(work: SlotWork, isTail: boolean): DispatchRequest {
+    const {state, home} = this.options;
+    const {customer, service} = state.options;
+    const {slot, group, copyId} = work;
     const book = this.options.rules.getBook();
+    const priority = book?.getPriority(customer, service) ?? 0;
     return {
-      requestId: `step/${name}/${work.slot}/${work.generation}`,
+      requestId: formatRunId(state.identityKey, slot, home, copyId),
       customer,
       service,
       work: {type: 'completion', bodyJson: formatBody(state, work)},
       isIdempotent: true,
       idempotencyKey: '',
-      fingerprint: `${name}/${work.slot}`,
+      fingerprint: `${state.identityKey}/${group}`,
       prefixKey: hashText(work.prompt).toString(36),
       expectedTokens: work.expectedTokens,
       budgetMs: GENERATION_BUDGET_MS,
-      priority: book?.getPriority(customer, service) ?? 0,
+      priority: isTail ? priority : Math.min(LOWEST_PRIORITY, priority + 1),
+      minVersion: work.minVersion,
     };
   }
+
+  private readNowMs(): number {
+    return this.options.clock.readMonotonicMs();
+  }
 }
 
 function formatBody(state: StepState, work: SlotWork): string {
   return JSON.stringify({
-    model: state.service,
+    model: state.options.service,
     prompt: work.prompt,
     max_tokens: work.maxTokens,
-    temperature: state.description.temperature,
+    temperature: state.options.description.temperature,
     seed: work.index,
   });
 }
--- a/packages/server/src/entry/step_service.ts
+++ b/packages/server/src/entry/step_service.ts
@@ -1,22 +1,18 @@
 /**
  * Steps of trainers at an entry: finds the home of a step, forwards calls to
- * it, and runs the steps whose home is here.
+ * it, and opens the steps whose home is here.
  */
 import {
+  Clock,
   HEARTBEAT_TIMEOUT_MS,
-  PULL_REPLY_SCHEMA,
   PullReply,
   RulesHolder,
-  STEP_DESCRIPTION_SCHEMA,
   ServiceError,
   StepDescription,
   StepState,
   createError,
   findHome,
-  formatStepKey,
   formatStepName,
-  getErrorAnswer,
-  readErrorKind,
 } from '@sassafrasspan/core';
 import type {EntryPeer, StepCall, StepReply} from '@sassafrasspan/nodes';
 import type {ObjectStore} from '@sassafrasspan/platform';
@@ -24,46 +20,81 @@
 import type {ScoringService} from '@sassafrasspan/scoring';
 import type {SamplePull, StepName, StepSummary} from '@sassafrasspan/trainers';
 import {Result, err, ok} from 'neverthrow';
-import {z} from 'zod';
 import type {Dispatcher} from './dispatcher';
 import type {NodeDirectory} from './node_directory';
+import {
+  fetchDescription,
+  encodeReply,
+  forwardPull,
+  forwardPut,
+  notifyVersion,
+  parseDescription,
+  parseVersionNotice,
+} from './step_calls';
+import type {StepPool} from './step_pool';
 import {StepRunner} from './step_runner';
+import {StepStore, StoredState} from './step_store';
+import {createStepState} from './step_opening';
+import {OpenStep, StepTable} from './step_table';
 
 const PULL_POLL_MS = 20;
-const HTTP_OK = 200;
-
-/** Schema of a step as the object API keeps it. */
-const STORED_STEP_SCHEMA = z.strictObject({
-  customer: z.string(),
-  description: STEP_DESCRIPTION_SCHEMA,
-});
+const SAVE_INTERVAL_MS = 2_000;
+const ANNOUNCE_WAIT_MS = 250;
 
-const SUMMARY_SCHEMA = z.strictObject({
-  trainer: z.string(),
-  step: z.string(),
-  total: z.number(),
-  ready: z.number(),
-  inFlight: z.number(),
-});
+/** Replies of a home that another entry may know better. */
+const UNSURE_KINDS = new Set(['no-endpoint', 'not-found', 'platform-down']);
 
 /** What a step service is built from. */
 export interface StepServiceOptions {
   readonly entry: string;
+  /** Name of this life of the entry. */
+  readonly incarnation: string;
   readonly directory: NodeDirectory;
   readonly dispatcher: Dispatcher;
   readonly store: ObjectStore;
   readonly rules: RulesHolder;
+  readonly clock: Clock;
   readonly log: EventLog;
+  readonly pool: StepPool;
   findScoring(name: string): ScoringService;
-  /** Returns how many samples of a service may be generated at once. */
-  readConcurrency(service: string): number;
 }
 
+type CallHandler = (call: StepCall, name: StepName) => Promise<StepReply>;
+
 /** The steps that an entry has to do with. */
 export class StepService {
-  private readonly runners = new Map<string, StepRunner>();
+  private readonly table: StepTable;
+  private readonly store: StepStore;
+  private savedAtMs = 0;
+  private isSaving = false;
+  private isStopped = false;
 
-  private constructor(private readonly options: StepServiceOptions) {}
+  /** What is done for a call of another entry, by its operation. */
+  private readonly handlers: Readonly<Record<string, CallHandler>> = {
+    put: async (call, name) => {
+      const description = parseDescription(call);
+      if (description.isErr()) return encodeReply(description);
+      return encodeReply(await this.putStep(name, description.value, 1));
+    },
+    pull: async (call, name) =>
+      encodeReply(await this.pullSamples(name, call, 1)),
+    get: async (_call, name) => encodeReply(this.findDescription(name)),
+    version: async call => {
+      const notice = parseVersionNotice(call);
+      if (notice.isOk()) {
+        this.table.observeVersion(notice.value.service, notice.value.version);
+      }
+      return encodeReply(notice);
+    },
+  };
+
+  private constructor(private readonly options: StepServiceOptions) {
+    this.store = StepStore.create(options.store);
+    this.table = StepTable.create({
+      ...options,
+      isHome: name => this.findRemoteHome(name) === undefined,
+    });
+  }
 
   /** Builds a service without steps. */
   static create(options: StepServiceOptions): StepService {
@@ -76,91 +107,121 @@
     description: StepDescription,
     hops = 0,
   ): Promise<Result<StepSummary, ServiceError>> {
+    const known = this.checkKnown(name, description);
+    if (known.isErr()) return err(known.error);
     const home = hops === 0 ? this.findRemoteHome(name) : undefined;
     if (home !== undefined) {
-      const bodyJson = JSON.stringify(description);
-      const call = createCall('put', name, {bodyJson});
-      const reply = await forwardCall(home, call, SUMMARY_SCHEMA);
+      const reply = await forwardPut(home, name, description);
       if (reply.isOk() || reply.error.kind !== 'no-endpoint') return reply;
     }
     return this.putLocally(name, description);
   }
 
+  /** Checks a description against the step that is open here, if one is. */
+  private checkKnown(
+    name: StepName,
+    description: StepDescription,
+  ): Result<void, ServiceError> {
+    const step = this.table.findStep(formatStepName(name.trainer, name.step));
+    if (step === undefined) return ok(undefined);
+    const owner = checkOwner(step, name);
+    if (owner.isErr()) return owner;
+    return step.runner.getState().checkDescription(description);
+  }
+
   private async putLocally(
     name: StepName,
     description: StepDescription,
   ): Promise<Result<StepSummary, ServiceError>> {
-    const stored = await this.storeStep(name, description);
-    if (stored.isErr()) return err(stored.error);
-    return this.openStep(name, description).map(createSummary);
+    const state = createStepState(this.options.rules, name, description);
+    if (state.isErr()) return err(state.error);
+    const saved = await this.store.saveStep(name, description);
+    if (saved.isErr()) return err(saved.error);
+    if (saved.value === 'unsaved') {
+      const others = await this.checkPeers(name, description);
+      if (others.isErr()) return err(others.error);
+    }
+    const known = this.checkKnown(name, description);
+    if (known.isErr()) return err(known.error);
+    const step = this.openStep(name, state.value, saved.value);
+    this.startWork(step);
+    return ok(createSummary(step));
   }
 
-  /** Keeps the description in the object API, if that answers. */
-  private async storeStep(
+  /** While the platform is down, other entries are asked for the step. */
+  private async checkPeers(
     name: StepName,
     description: StepDescription,
   ): Promise<Result<void, ServiceError>> {
-    const key = formatStepKey(name.trainer, name.step);
-    const value = {customer: name.customer, description};
-    const written = await this.options.store.writeObject(key, value, 0);
-    if (written.isOk() || written.error.kind !== 'conflict') {
-      return ok(undefined);
-    }
-    const found = await this.options.store.readObject(key);
-    if (found.isErr()) return ok(undefined);
-    const isSame = JSON.stringify(found.value.value) === JSON.stringify(value);
-    if (isSame) return ok(undefined);
-    return err(createError('conflict', 'the step has another description'));
+    const state = createStepState(this.options.rules, name, description);
+    if (state.isErr()) return err(state.error);
+    const found = await this.fetchFromPeers(name);
+    if (found === undefined) return ok(undefined);
+    return state.value.checkDescription(found);
+  }
+
+  private async fetchFromPeers(
+    name: StepName,
+  ): Promise<StepDescription | undefined> {
+    const peers = this.listPeers().map(peer => peer.client);
+    const replies = await Promise.all(
+      peers.map(peer => fetchDescription(peer, name)),
+    );
+    return replies.find(reply => reply.isOk())?.unwrapOr(undefined);
   }
 
   private openStep(
     name: StepName,
-    description: StepDescription,
-  ): Result<StepRunner, ServiceError> {
-    const key = formatStepName(name.trainer, name.step);
-    const known = this.runners.get(key);
-    if (known !== undefined) return checkSameStep(known, description);
-    const state = this.createState(name, description);
-    if (state.isErr()) return err(state.error);
-    const runner = StepRunner.create({
-      state: state.value,
-      dispatcher: this.options.dispatcher,
-      scoring: this.options.findScoring(description.scoring),
-      rules: this.options.rules,
-      log: this.options.log,
-      readConcurrency: () => this.options.readConcurrency(state.value.service),
-    });
-    this.runners.set(key, runner);
+    state: StepState,
+    saved: StoredState,
+  ): OpenStep {
+    const known = this.table.findStep(state.getName());
+    if (known !== undefined) return known;
+    const nowMs = this.options.clock.readMonotonicMs();
+    const {description} = state.options;
+    const step: OpenStep = {
+      name,
+      description,
+      runner: this.createRunner(state),
+      isStored: saved !== 'unsaved',
+      isInConflict: false,
+      isFresh: saved === 'created',
+      hasCursor: false,
+      isSent: false,
+      openedAtMs: nowMs,
+      touchedAtMs: nowMs,
+    };
+    this.table.addStep(step);
     this.options.log.writeEvent('step-opened', {
-      step: key,
-      slots: state.value.countSlots(),
+      step: state.getName(),
+      slots: state.countSlots(),
     });
-    runner.advance();
-    return ok(runner);
+    return step;
   }
 
-  private createState(
-    name: StepName,
-    description: StepDescription,
-  ): Result<StepState, ServiceError> {
-    const book = this.options.rules.getBook();
-    if (book === undefined) {
-      return err(createError('not-ready', 'the entry has no rules yet'));
-    }
-    const trainer = book.findTrainer(name.trainer);
-    if (trainer === undefined) {
-      return err(createError('not-found', `no trainer ${name.trainer}`));
-    }
-    if (trainer.customer !== name.customer) {
-      return err(createError('forbidden', `${name.trainer} is not yours`));
+  private createRunner(state: StepState): StepRunner {
+    const {incarnation, dispatcher, rules, clock, log} = this.options;
+    return StepRunner.create({
+      home: incarnation,
+      state,
+      dispatcher,
+      scoring: this.options.findScoring(state.options.description.scoring),
+      rules,
+      clock,
+      log,
+      findAgent: agent => this.options.directory.findAgent(agent),
+      handleChange: () => this.table.advance(),
+    });
+  }
+
+  /** Takes over kept answers once, then starts what is missing. */
+  private startWork(step: OpenStep): void {
+    step.touchedAtMs = this.options.clock.readMonotonicMs();
+    if (step.isFresh || !step.runner.needsAdoption()) {
+      return this.table.advance();
     }
-    const promised = book.getStalenessBound(name.trainer);
-    const stated = description.stalenessBound;
-    const stalenessBound = Math.min(promised ?? stated, stated);
-    const {service} = trainer;
-    return ok(
-      StepState.create({...name, service, description, stalenessBound}),
-    );
+    const agents = this.options.directory.listAgentClients();
+    void step.runner.adoptAnswers(agents);
   }
 
   /** Gives the next samples of a step, from here or from its home. */
@@ -170,146 +231,151 @@
     hops = 0,
   ): Promise<Result<PullReply, ServiceError>> {
     const home = hops === 0 ? this.findRemoteHome(name) : undefined;
-    if (home !== undefined) {
-      const call = createCall('pull', name, pull);
-      const reply = await forwardCall(home, call, PULL_REPLY_SCHEMA);
-      if (reply.isOk() || reply.error.kind !== 'no-endpoint') return reply;
-    }
-    return this.pullLocally(name, pull);
+    if (home === undefined) return this.pullLocally(name, pull);
+    const reply = await forwardPull(home, name, pull);
+    if (reply.isOk() || !UNSURE_KINDS.has(reply.error.kind)) return reply;
+    const local = await this.pullLocally(name, pull);
+    return local.isOk() ? local : reply;
   }
 
   private async pullLocally(
     name: StepName,
     pull: SamplePull,
   ): Promise<Result<PullReply, ServiceError>> {
-    const runner = await this.findRunner(name);
-    if (runner.isErr()) return err(runner.error);
-    const state = runner.value.getState();
-    if (state.customer !== name.customer) {
-      return err(createError('forbidden', `${name.trainer} is not yours`));
-    }
+    const found = await this.findStep(name);
+    if (found.isErr()) return err(found.error);
+    const step = found.value;
+    const state = step.runner.getState();
+    const opened = state.openPull(pull);
+    if (opened.isErr()) return err(opened.error);
+    step.hasCursor = true;
+    if (state.isAcknowledged()) this.table.releaseStep(step);
+    else this.startWork(step);
     for (let waitedMs = 0; ; waitedMs += PULL_POLL_MS) {
-      const reply = state.pullSamples(pull);
-      runner.value.advance();
-      if (reply.isErr()) return reply;
-      const hasNews = reply.value.samples.length > 0 || reply.value.complete;
-      if (hasNews || waitedMs >= pull.waitMs) return reply;
+      if (step.isInConflict) return err(createConflict());
+      const {service} = state.options;
+      state.observeVersion(this.options.pool.findNewestVersion(service));
+      const reply = state.answerPull(opened.value);
+      step.runner.settle();
+      step.isSent = step.isSent || reply.complete;
+      const hasNews = reply.samples.length > 0 || reply.complete;
+      if (hasNews || waitedMs >= pull.waitMs) return ok(reply);
       await waitMs(PULL_POLL_MS);
     }
   }
 
-  private async findRunner(
+  private async findStep(
     name: StepName,
-  ): Promise<Result<StepRunner, ServiceError>> {
-    const known = this.runners.get(formatStepName(name.trainer, name.step));
-    if (known !== undefined) return ok(known);
-    const key = formatStepKey(name.trainer, name.step);
-    const found = await this.options.store.readObject(key);
-    if (found.isErr()) return err(found.error);
-    const stored = STORED_STEP_SCHEMA.safeParse(found.value.value);
-    if (!stored.success) {
-      return err(createError('not-found', `no step ${name.step}`));
+  ): Promise<Result<OpenStep, ServiceError>> {
+    const stepName = formatStepName(name.trainer, name.step);
+    const known = this.table.findStep(stepName);
+    if (known !== undefined) return checkOwner(known, name).map(() => known);
+    const stored = await this.store.findStep(name);
+    const description = stored.isOk()
+      ? stored.value.description
+      : await this.fetchFromPeers(name);
+    if (stored.isErr() && description === undefined) return err(stored.error);
+    if (description === undefined) return err(createConflict());
+    const state = createStepState(this.options.rules, name, description);
+    if (state.isErr()) return err(state.error);
+    const saved = stored.isOk() ? 'known' : 'unsaved';
+    return ok(this.openStep(name, state.value, saved));
+  }
+
+  private findDescription(
+    name: StepName,
+  ): Result<StepDescription, ServiceError> {
+    const step = this.table.findStep(formatStepName(name.trainer, name.step));
+    if (step !== undefined) {
+      return checkOwner(step, name).map(() => step.description);
     }
-    const owned = {...name, customer: stored.data.customer};
-    return this.openStep(owned, stored.data.description);
+    return err(createError('not-found', `${name.step} is not open here`));
+  }
+
+  private listPeers() {
+    return this.options.directory
+      .listEntries()
+      .filter(entry => entry.ageMs <= HEARTBEAT_TIMEOUT_MS);
   }
 
   /** Finds the entry that is home to a step, unless it is this one. */
   private findRemoteHome(name: StepName): EntryPeer | undefined {
-    const others = this.options.directory
-      .listEntries()
-      .filter(entry => entry.ageMs <= HEARTBEAT_TIMEOUT_MS)
-      .filter(entry => entry.heartbeat?.leaving === false);
-    const names = [this.options.entry, ...others.map(entry => entry.name)];
+    const others = this.listPeers().filter(
+      entry => entry.heartbeat?.leaving === false,
+    );
+    const names = others.map(entry => entry.name);
+    if (!this.isStopped) names.push(this.options.entry);
     const home = findHome(formatStepName(name.trainer, name.step), names);
     return others.find(entry => entry.name === home)?.client;
   }
 
   /** Answers a call that another entry has forwarded. */
   async answerForwarded(call: StepCall): Promise<StepReply> {
-    const name = {
-      customer: call.customer,
-      trainer: call.trainer,
-      step: call.step,
-    };
-    if (call.operation === 'pull') {
-      const {cursor, trainerVersion, maxSamples} = call;
-      const pull = {cursor, trainerVersion, maxSamples, waitMs: call.waitMs};
-      return createReply(await this.pullSamples(name, pull, call.hops));
-    }
-    const body: unknown = JSON.parse(call.bodyJson);
-    const description = STEP_DESCRIPTION_SCHEMA.parse(body);
-    return createReply(await this.putStep(name, description, call.hops));
+    const {customer, trainer, step} = call;
+    const handler = this.handlers[call.operation];
+    if (handler !== undefined) return handler(call, {customer, trainer, step});
+    const detail = `no operation ${call.operation}`;
+    return encodeReply(err(createError('bad-request', detail)));
+  }
+
+  /** Takes in a published version and tells the other entries, if they
+   * answer soon. */
+  async publishVersion(service: string, version: number): Promise<void> {
+    this.table.observeVersion(service, version);
+    const notices = this.listPeers().map(peer =>
+      notifyVersion(peer.client, {service, version}),
+    );
+    await Promise.race([Promise.all(notices), waitMs(ANNOUNCE_WAIT_MS)]);
   }
 
   /** Starts whatever work the steps here still need. */
   advance(): void {
-    for (const runner of this.runners.values()) runner.advance();
+    this.table.sweep();
+    this.table.advance();
+    const nowMs = this.options.clock.readMonotonicMs();
+    if (this.isSaving || nowMs - this.savedAtMs < SAVE_INTERVAL_MS) return;
+    this.savedAtMs = nowMs;
+    void this.saveUnsaved();
+  }
+
+  /** Keeps the descriptions that came while the platform was down. */
+  private async saveUnsaved(): Promise<void> {
+    this.isSaving = true;
+    for (const step of this.table.listSteps()) {
+      if (step.isStored || step.isInConflict) continue;
+      const saved = await this.store.saveStep(step.name, step.description);
+      step.isInConflict = saved.isErr();
+      step.isStored = saved.isOk() && saved.value !== 'unsaved';
+    }
+    this.isSaving = false;
   }
 
-  /** Starts no more work. */
+  /** Starts no more work; the steps' home is elsewhere from now on. */
   stop(): void {
-    for (const runner of this.runners.values()) runner.stop();
+    this.isStopped = true;
+    this.table.stop();
   }
 }
 
-function createSummary(runner: StepRunner): StepSummary {
-  const state = runner.getState();
-  return {
-    trainer: state.trainer,
-    step: state.step,
-    total: state.countSlots(),
-    ready: state.countReady(),
-    inFlight: state.countInFlight(),
-  };
+function checkOwner(
+  step: OpenStep,
+  name: StepName,
+): Result<void, ServiceError> {
+  if (step.name.customer === name.customer) return ok(undefined);
+  return err(createError('forbidden', `${name.trainer} is not yours`));
 }
 
-function checkSameStep(
-  runner: StepRunner,
-  description: StepDescription,
-): Result<StepRunner, ServiceError> {
-  const known = JSON.stringify(runner.getState().description);
-  if (known === JSON.stringify(description)) return ok(runner);
-  return err(createError('conflict', 'the step has another description'));
+function createConflict(): ServiceError {
+  return createError('conflict', 'the step has another description');
 }
 
-function createCall(
-  operation: 'put' | 'pull',
-  name: StepName,
-  fields: Partial<SamplePull> & {readonly bodyJson?: string},
-): StepCall {
+function createSummary(step: OpenStep): StepSummary {
+  const state = step.runner.getState();
   return {
-    operation,
-    ...name,
-    bodyJson: fields.bodyJson ?? '',
-    cursor: fields.cursor ?? '',
-    trainerVersion: fields.trainerVersion ?? 0,
-    maxSamples: fields.maxSamples ?? 0,
-    waitMs: fields.waitMs ?? 0,
-    hops: 1,
+    trainer: step.name.trainer,
+    step: step.name.step,
+    total: state.countSlots(),
+    ready: state.countReady(),
+    inFlight: state.countInFlight(),
   };
 }
-
-async function forwardCall<T>(
-  home: EntryPeer,
-  call: StepCall,
-  schema: z.ZodType<T>,
-): Promise<Result<T, ServiceError>> {
-  const reply = await home.forwardStep(call);
-  return reply.andThen(found => {
-    if (found.kind === '') return ok(schema.parse(JSON.parse(found.bodyJson)));
-    const {retryAfterMs} = found;
-    const kind = readErrorKind(found.kind);
-    return err(createError(kind, found.detail, {retryAfterMs}));
-  });
-}
-
-function createReply<T>(result: Result<T, ServiceError>): StepReply {
-  if (result.isOk()) {
-    const bodyJson = JSON.stringify(result.value);
-    return {status: HTTP_OK, bodyJson, kind: '', detail: '', retryAfterMs: 0};
-  }
-  const {kind, detail} = result.error;
-  const {status, retryAfterMs} = getErrorAnswer(result.error);
-  return {status, bodyJson: '', kind, detail, retryAfterMs};
-}
