Stage, announce and activate weights under verified fencing numbers

The swap decision is a pure function in the core: an agent orders only under a fencing number verified lately, never below the engine's own version, and an engine that ignores numbers is read back after each order. Agents with a disk fetch from the store and serve the others; a pool activates in waves. Text for which an engine names no version fails its run; it used to be labelled version 0.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,3 +21,6 @@
 export * from './shared/clock';
 export * from './shared/hash';
 export * from './shared/platform_objects';
+export * from './weights/activation_wave';
+export * from './weights/fetch_plan';
+export * from './weights/swap_decision';
--- a/packages/core/src/shared/platform_objects.ts
+++ b/packages/core/src/shared/platform_objects.ts
@@ -34,6 +34,13 @@
   weightsKey: z.string(),
   operationId: z.string(),
   publishedAtMs: z.number(),
+  /** A later version that engines stage ahead of its publication. */
+  announced: z
+    .strictObject({
+      version: z.number().int().positive(),
+      weightsKey: z.string(),
+    })
+    .optional(),
 });
 
 /** The newest published weight version of a service. */
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -3,7 +3,7 @@
  * HTTP.
  */
 import {
-  EndReport,
+  ACTIVATE_LIFE_MS,
   EndpointDriver,
   EndpointLoad,
   EndpointRun,
@@ -13,19 +13,18 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
-import {classifyCallError, parseJson} from '@sassafrasspan/runtime';
+import {classifyCallError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {Agent, request} from 'undici';
-import {
-  COMPLETION_EVENT_SCHEMA,
-  CompletionEvent,
-  LOAD_SCHEMA,
-  STREAM_END,
-} from './engine_wire';
-import {SseReader} from './sse_reader';
+import {CompletionStream} from './completion_stream';
+import {LOAD_SCHEMA} from './engine_wire';
 
 const CALL_TIMEOUT_MS = 1_000;
-const ORDER_TIMEOUT_MS = 60_000;
+/** Longest life of an order of each kind. */
+const ORDER_TIMEOUTS_MS: Readonly<Record<EngineOrder['kind'], number>> = {
+  stage: 600_000,
+  activate: ACTIVATE_LIFE_MS,
+};
 const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_OK = 200;
 const HTTP_CONFLICT = 409;
@@ -82,7 +81,11 @@
           isCrash: false,
         });
       }
-      await readStream(reply.body, sink);
+      const stream = CompletionStream.create(sink);
+      for await (const bytes of reply.body) {
+        if (!stream.acceptBytes(bytes as Uint8Array)) break;
+      }
+      stream.endStream();
     } catch (error) {
       if (deadline.aborted) return sink.fail(createDeadlineFailure());
       const fault = classifyCallError(error);
@@ -122,7 +125,7 @@
         headers: {'content-type': 'application/json'},
         body: JSON.stringify(order),
         dispatcher: this.dispatcher,
-        signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+        signal: AbortSignal.timeout(ORDER_TIMEOUTS_MS[order.kind]),
       });
       const detail = await reply.body.text();
       if (reply.statusCode === HTTP_OK) return ok(undefined);
@@ -156,61 +159,3 @@
   if (status < 500) return createError('bad-request', detail);
   return createError('endpoint-failed', detail);
 }
-
-/** What the events of a stream have said so far. */
-interface StreamState {
-  finishReason: string;
-  report: EndReport | undefined;
-  isDone: boolean;
-}
-
-async function readStream(
-  body: AsyncIterable<Uint8Array>,
-  sink: RunSink,
-): Promise<void> {
-  const reader = SseReader.create();
-  const state: StreamState = {
-    finishReason: '',
-    report: undefined,
-    isDone: false,
-  };
-  for await (const bytes of body) {
-    for (const data of reader.readEvents(bytes)) {
-      if (data === STREAM_END) state.isDone = true;
-      else applyEvent(data, state, sink);
-    }
-  }
-  if (state.isDone && state.report !== undefined) {
-    return sink.finish(state.report);
-  }
-  const error = createError('answer-incomplete', 'the engine closed early');
-  sink.fail({error, isCrash: true});
-}
-
-function applyEvent(data: string, state: StreamState, sink: RunSink): void {
-  const parsed = parseJson(data).map(value =>
-    COMPLETION_EVENT_SCHEMA.parse(value),
-  );
-  if (parsed.isErr()) return;
-  const event = parsed.value;
-  const choice = event.choices[0];
-  if (choice !== undefined && choice.text !== '') {
-    const bytes = new TextEncoder().encode(choice.text);
-    sink.appendData(bytes, event.weight_version ?? 0, 1);
-  }
-  state.finishReason = choice?.finish_reason ?? state.finishReason;
-  state.report = readReport(event, state) ?? state.report;
-}
-
-function readReport(
-  event: CompletionEvent,
-  state: StreamState,
-): EndReport | undefined {
-  if (!event.usage) return undefined;
-  return {
-    finishReason: state.finishReason,
-    promptTokens: event.usage.prompt_tokens,
-    completionTokens: event.usage.completion_tokens,
-    cachedTokens: event.usage.cached_tokens ?? 0,
-  };
-}
--- a/packages/engines/src/engine_wire.ts
+++ b/packages/engines/src/engine_wire.ts
@@ -12,7 +12,7 @@
     )
     .default([]),
   /** Weight version that produced this event's text. */
-  weight_version: z.number().int().optional(),
+  weight_version: z.number().int().nullable().optional(),
   usage: z
     .object({
       prompt_tokens: z.number().int(),
--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -156,7 +156,7 @@
     const standin = this.endpoints.get(plan.name);
     const options = plan.options ?? {};
     const node = await this.startNode('agent', name, plan.failureDomain, {
-      weightStoreUrl: this.weights.url,
+      weightStore: {url: this.weights.url, fetchesPerSecond: 1_000},
       endpoints: [
         {
           name: plan.name,
--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -13,6 +13,7 @@
   AgentHeartbeat,
   AgentNodeClient,
   FetchRulesReply,
+  FetchWeightsRequest,
   KeptAnswer,
   ResumeRequest,
   RevokeReply,
@@ -20,6 +21,7 @@
   RunFrame,
   RunRequest,
   WatchRequest,
+  WeightsChunk,
 } from './generated/nodes';
 
 /** Interval between `Alive` frames of an idle run. */
@@ -54,6 +56,10 @@
   acknowledgeRun(requestId: string, cancel: boolean): void;
   listAnswers(prefix: string): Promise<Result<KeptAnswer[], ServiceError>>;
   fetchRules(newerThan: number): Promise<Result<FetchRulesReply, ServiceError>>;
+  /** Fetches one block of weights that the agent keeps. */
+  fetchWeights(
+    request: FetchWeightsRequest,
+  ): Promise<Result<WeightsChunk, ServiceError>>;
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
@@ -136,6 +142,18 @@
     );
   }
 
+  fetchWeights(
+    request: FetchWeightsRequest,
+  ): Promise<Result<WeightsChunk, ServiceError>> {
+    return new Promise(resolve => {
+      const missing = createError('not-found', 'the agent has no such weights');
+      followStream(this.client.fetchWeights(request), {
+        receiveMessage: chunk => resolve(ok(chunk)),
+        handleLoss: () => resolve(err(missing)),
+      });
+    });
+  }
+
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -10,6 +10,7 @@
   type EntryHeartbeat,
   type FetchRulesReply,
   type FetchRulesRequest,
+  type FetchWeightsRequest,
   type KeptAnswer,
   type ResumeRequest,
   type RevokeReply,
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -31,7 +31,7 @@
 import type {AgentSettings} from '../shared/settings_schemas';
 import {AgentRuns} from './agent_runs';
 import {EndpointUnit} from './endpoint_unit';
-import {EngineSwapper} from './engine_swapper';
+import {WeightParts} from './weight_parts';
 
 const SWEEP_INTERVAL_MS = 100;
 const LOAD_INTERVAL_MS = 250;
@@ -56,7 +56,7 @@
   private readonly store: ObjectClient;
   private readonly feed: RulesFeed;
   private readonly units: ReadonlyMap<string, EndpointUnit>;
-  private readonly swappers: readonly EngineSwapper[];
+  private readonly weights: WeightParts;
   private readonly watches: readonly ObjectWatch[];
   private readonly runs: AgentRuns;
   private readonly peerServer: NodeServer;
@@ -77,7 +77,7 @@
     this.units = new Map(
       settings.endpoints.map(item => [item.name, EndpointUnit.create(item)]),
     );
-    this.swappers = this.createSwappers();
+    this.weights = this.createWeights();
     this.watches = this.createVersionWatches();
     this.runs = AgentRuns.create({
       incarnation: this.incarnation,
@@ -110,6 +110,7 @@
     const operators = await this.operatorsServer.listen(
       this.settings.operators,
     );
+    await this.weights.start();
     this.feed.start();
     for (const watch of this.watches) void watch.run();
     this.addTimer(SWEEP_INTERVAL_MS, () => this.runs.sweep());
@@ -132,6 +133,7 @@
     for (const timer of this.timers) clearInterval(timer);
     for (const watch of this.watches) watch.stop();
     this.feed.stop();
+    this.weights.stop();
     this.peerServer.destroy();
     this.operatorsServer.destroy();
     await this.store.close();
@@ -154,7 +156,7 @@
 
   private refreshUnits(): void {
     for (const unit of this.units.values()) void unit.refreshLoad();
-    for (const swapper of this.swappers) void swapper.advance();
+    this.weights.advance();
   }
 
   private listEngines(): EndpointUnit[] {
@@ -163,17 +165,16 @@
     );
   }
 
-  private createSwappers(): EngineSwapper[] {
-    return this.listEngines().map(unit =>
-      EngineSwapper.create({
-        unit,
-        store: this.store,
-        holder: `${this.settings.name}/${this.incarnation}`,
-        weightStoreUrl: this.settings.weightStoreUrl ?? '',
-        clock: SYSTEM_CLOCK,
-        log: this.log,
-      }),
-    );
+  private createWeights(): WeightParts {
+    return WeightParts.create({
+      settings: this.settings,
+      holder: `${this.settings.name}/${this.incarnation}`,
+      engines: this.listEngines(),
+      store: this.store,
+      rules: this.rules,
+      clock: SYSTEM_CLOCK,
+      log: this.log,
+    });
   }
 
   private createVersionWatches(): ObjectWatch[] {
@@ -194,11 +195,7 @@
   private applyVersion(value: unknown): boolean {
     const parsed = VERSION_HEAD_SCHEMA.safeParse(value);
     if (!parsed.success) return true;
-    const engines = this.listEngines();
-    for (const [index, swapper] of this.swappers.entries()) {
-      const {service} = engines[index].settings;
-      if (service === parsed.data.service) swapper.setTarget(parsed.data);
-    }
+    this.weights.setHead(parsed.data);
     return true;
   }
 
@@ -230,7 +227,8 @@
       }),
       watch: (_request, writer) => this.streamHeartbeats(writer),
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
-      fetchWeights: (_request, writer) => writer.end(),
+      fetchWeights: (request, writer) =>
+        void this.weights.sendBlock(request, writer),
       drain: request => this.drainEndpoint(request.endpoint),
     };
   }
--- a/packages/server/src/agent/engine_swapper.ts
+++ b/packages/server/src/agent/engine_swapper.ts
@@ -1,133 +1,168 @@
 /**
- * Swaps the weights of one engine: stage, then activate, with the agent's
- * fencing number on each order. The engine's own word decides which version
- * it runs.
+ * Swaps the weights of one engine: carries out what the swap decision in the
+ * core says, one order at a time, and reads the engine's version back after
+ * each.
  */
 import {
   Clock,
   EngineOrder,
-  FENCING_SCHEMA,
   PublishedVersion,
   ServiceError,
-  createError,
-  formatFencingKey,
+  SwapAction,
+  decideSwap,
+  ORDER_RETRY_MS,
 } from '@sassafrasspan/core';
-import type {ObjectStore} from '@sassafrasspan/platform';
 import type {EventLog} from '@sassafrasspan/runtime';
-import {Result, err, ok} from 'neverthrow';
+import {Result, ok} from 'neverthrow';
 import type {EndpointUnit} from './endpoint_unit';
+import type {FencingKeeper} from './fencing_keeper';
+import type {WeightVersion} from './weight_source';
 
 /** What a swapper is built from. */
 export interface EngineSwapperOptions {
   readonly unit: EndpointUnit;
-  readonly store: ObjectStore;
-  readonly holder: string;
-  readonly weightStoreUrl: string;
+  readonly fencing: FencingKeeper;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Returns the URL from which the engine takes a version. */
+  formatSource(wanted: WeightVersion): string;
+  /** Returns the delay of the activation in ms, so that the pool serves. */
+  readDelayMs(version: number): number;
 }
 
 /** Drives the weight version of one engine. */
 export class EngineSwapper {
-  private fencing = 0;
-  private target: PublishedVersion | undefined;
+  private head: PublishedVersion | undefined;
+  private activateAtMs = 0;
+  private retryAtMs = 0;
+  private staged = 0;
   private isBusy = false;
 
   private constructor(private readonly options: EngineSwapperOptions) {}
 
-  /** Builds a swapper without a fencing number. */
+  /** Builds a swapper without a target. */
   static create(options: EngineSwapperOptions): EngineSwapper {
     return new EngineSwapper(options);
   }
 
-  /** Takes a newer published version as the target. */
-  setTarget(target: PublishedVersion): void {
-    if (target.version <= (this.target?.version ?? 0)) return;
-    this.target = target;
+  /** Takes a newer state of the service's version head. */
+  setHead(head: PublishedVersion): void {
+    const known = this.head?.version ?? 0;
+    if (head.version < known) return;
+    if (head.version > known) {
+      const delayMs = this.options.readDelayMs(head.version);
+      this.activateAtMs = this.options.clock.readMonotonicMs() + delayMs;
+    }
+    this.head = head;
   }
 
-  /** Brings the engine one step nearer to its target, if it is behind. */
+  /** Does the next step towards the published version, if there is one. */
   async advance(): Promise<void> {
-    const {target} = this;
-    if (this.isBusy || target === undefined) return;
-    if (this.options.unit.getCondition() === 'down') return;
-    if (this.options.unit.getWeightVersion() === target.version) return;
+    if (this.isBusy || this.head === undefined) return;
+    const {unit, fencing} = this.options;
+    if (fencing.getState().isLost) unit.markLeaving();
+    if (unit.getCondition() === 'down') return;
+    const action = this.decideAction(this.head);
+    if (action.type === 'wait') return;
     this.isBusy = true;
-    const result = await this.swapTo(target);
-    this.options.unit.setSwapping(false);
+    const done = await this.runAction(action, this.head);
     this.isBusy = false;
-    if (result.isErr()) this.reportFailure(target, result.error);
+    if (done.isErr()) this.recordFailure(action, done.error);
   }
 
-  private async swapTo(
-    target: PublishedVersion,
+  private decideAction(head: PublishedVersion): SwapAction {
+    const {unit, fencing, clock} = this.options;
+    return decideSwap({
+      nowMs: clock.readMonotonicMs(),
+      observed: unit.getWeightVersion(),
+      staged: this.staged,
+      published: head.version,
+      announced: head.announced?.version ?? 0,
+      activateAtMs: this.activateAtMs,
+      retryAtMs: this.retryAtMs,
+      fencing: fencing.getState(),
+      checksFencing: unit.settings.fencing === 'checks',
+    });
+  }
+
+  private runAction(
+    action: SwapAction,
+    head: PublishedVersion,
   ): Promise<Result<void, ServiceError>> {
-    const fenced = await this.gainFencing();
-    if (fenced.isErr()) return err(fenced.error);
-    const endpoint = this.options.unit.settings.name;
-    const {version} = target;
-    this.options.log.writeEvent('swap-started', {endpoint, version});
-    const staged = await this.sendOrder('stage', target);
-    if (staged.isErr()) return staged;
-    this.options.unit.setSwapping(true);
-    const activated = await this.sendOrder('activate', target);
-    await this.options.unit.refreshLoad();
-    if (activated.isErr()) return activated;
-    if (this.options.unit.getWeightVersion() !== version) {
-      const detail = 'the engine reports another version';
-      return err(createError('version-unknown', detail));
+    switch (action.type) {
+      case 'wait':
+        return Promise.resolve(ok(undefined));
+      case 'gain-fencing':
+        return this.options.fencing.gainNumber();
+      case 'verify-fencing':
+        return this.options.fencing.verifyNumber();
+      case 'stage':
+        return this.stageVersion(selectVersion(head, action.version));
+      case 'activate':
+        return this.activateVersion(head);
     }
-    this.options.log.writeEvent('swap-finished', {endpoint, version});
-    return ok(undefined);
+  }
+
+  private async stageVersion(
+    wanted: WeightVersion,
+  ): Promise<Result<void, ServiceError>> {
+    this.writeSwapEvent('swap-started', wanted.version);
+    const source = this.options.formatSource(wanted);
+    const done = await this.sendOrder('stage', wanted.version, source);
+    if (done.isOk()) this.staged = wanted.version;
+    return done;
+  }
+
+  private async activateVersion(
+    head: PublishedVersion,
+  ): Promise<Result<void, ServiceError>> {
+    const {unit} = this.options;
+    unit.setSwapping(true);
+    const done = await this.sendOrder('activate', head.version, '');
+    await unit.refreshLoad();
+    unit.setSwapping(false);
+    if (unit.getWeightVersion() === head.version) {
+      this.writeSwapEvent('swap-finished', head.version);
+    } else {
+      // The engine may have lost what was staged, as after a crash.
+      this.staged = 0;
+    }
+    return done;
   }
 
   private sendOrder(
     kind: EngineOrder['kind'],
-    target: PublishedVersion,
+    version: number,
+    source: string,
   ): Promise<Result<void, ServiceError>> {
-    const key = encodeURIComponent(target.weightsKey);
-    return this.options.unit.driver.sendOrder({
-      kind,
-      version: target.version,
-      source: `${this.options.weightStoreUrl}/weights/${key}`,
-      fencing: this.fencing,
-    });
+    const fencing = this.options.fencing.getState().number;
+    const {driver} = this.options.unit;
+    return driver.sendOrder({kind, version, source, fencing});
   }
 
-  /** Gains a fencing number once, by a conditional update. */
-  private async gainFencing(): Promise<Result<void, ServiceError>> {
-    if (this.fencing > 0) return ok(undefined);
+  private recordFailure(action: SwapAction, error: ServiceError): void {
+    const {kind, detail} = error;
+    this.retryAtMs = this.options.clock.readMonotonicMs() + ORDER_RETRY_MS;
+    const isOrder = action.type === 'stage' || action.type === 'activate';
+    if (isOrder && kind === 'conflict') this.options.fencing.markLost(detail);
     const endpoint = this.options.unit.settings.name;
-    const key = formatFencingKey(endpoint);
-    const found = await this.options.store.readObject(key);
-    if (found.isErr()) return err(found.error);
-    const record = FENCING_SCHEMA.safeParse(found.value.value);
-    const number = (record.success ? record.data.number : 0) + 1;
-    const {holder} = this.options;
-    const written = await this.options.store.writeObject(
-      key,
-      {endpoint, number, holder},
-      found.value.version,
-    );
-    if (written.isErr()) return err(written.error);
-    this.fencing = number;
-    this.options.log.writeEvent('fencing-gained', {endpoint, number});
-    return ok(undefined);
+    const {type} = action;
+    this.options.log.writeEvent('swap-failed', {endpoint, type, kind, detail});
   }
 
-  private reportFailure(target: PublishedVersion, error: ServiceError): void {
+  private writeSwapEvent(
+    name: 'swap-started' | 'swap-finished',
+    version: number,
+  ): void {
     const endpoint = this.options.unit.settings.name;
-    const {version} = target;
-    const {kind, detail} = error;
-    if (kind === 'conflict') {
-      this.options.log.writeEvent('fencing-lost', {endpoint, detail});
-      return;
-    }
-    this.options.log.writeEvent('swap-failed', {
-      endpoint,
-      version,
-      kind,
-      detail,
-    });
+    this.options.log.writeEvent(name, {endpoint, version});
   }
 }
+
+/** Finds the published or announced version in a head. */
+function selectVersion(head: PublishedVersion, version: number): WeightVersion {
+  const {service} = head;
+  const {announced} = head;
+  if (announced?.version === version) return {service, ...announced};
+  return {service, version: head.version, weightsKey: head.weightsKey};
+}
--- /dev/null
+++ b/packages/server/src/agent/weight_server.ts
@@ -0,0 +1,69 @@
+/**
+ * Serves weights to the engines beside an agent. An engine's `stage` order
+ * names this server as its source.
+ */
+import {Readable} from 'node:stream';
+import {pipeline} from 'node:stream/promises';
+import {
+  DEFAULT_HTTP_LIMITS,
+  HttpExchange,
+  HttpServer,
+  ListenAddress,
+  sendError,
+} from '@sassafrasspan/runtime';
+import {createError} from '@sassafrasspan/core';
+import type {WeightSource, WeightVersion} from './weight_source';
+
+/** The weights server of an agent. */
+export class WeightServer {
+  private address: ListenAddress | undefined;
+
+  private constructor(private readonly server: HttpServer) {}
+
+  /** Builds a server that does not listen yet. */
+  static create(source: WeightSource): WeightServer {
+    const route = {
+      method: 'GET',
+      path: '/weights/:service/:version/:key',
+      handler: (exchange: HttpExchange) => sendWeights(exchange, source),
+    };
+    return new WeightServer(HttpServer.create([route], DEFAULT_HTTP_LIMITS));
+  }
+
+  /** Starts to listen. */
+  async listen(address: ListenAddress): Promise<void> {
+    this.address = await this.server.listen(address);
+  }
+
+  /** Returns the URL from which an engine takes a version. */
+  formatUrl(wanted: WeightVersion): string {
+    const {host, port} = this.address ?? {host: '127.0.0.1', port: 0};
+    const key = encodeURIComponent(wanted.weightsKey);
+    const path = `${wanted.service}/${wanted.version}/${key}`;
+    return `http://${host}:${port}/weights/${path}`;
+  }
+
+  /** Stops at once. */
+  destroy(): void {
+    this.server.destroy();
+  }
+}
+
+/** Streams a version; a break tears the answer down, so it never looks whole. */
+async function sendWeights(
+  exchange: HttpExchange,
+  source: WeightSource,
+): Promise<void> {
+  const {response, params} = exchange;
+  const version = Number(params.version);
+  if (!Number.isInteger(version)) {
+    return sendError(response, createError('bad-request', 'no such version'));
+  }
+  const {service, key} = params;
+  const wanted = {service, version, weightsKey: key};
+  const bytes = Readable.from(source.streamVersion(wanted), {
+    objectMode: true,
+  });
+  response.setHeader('content-type', 'application/octet-stream');
+  await pipeline(bytes, response).catch(() => response.destroy());
+}
--- /dev/null
+++ b/packages/server/src/agent/weight_source.ts
@@ -0,0 +1,219 @@
+/**
+ * Where the bytes of a weight version come from: this VM's disk, another
+ * agent that keeps them, or the weight store.
+ */
+import {createHash} from 'node:crypto';
+import {
+  ServiceError,
+  WeightHolder,
+  createError,
+  planFetch,
+} from '@sassafrasspan/core';
+import {AgentClient} from '@sassafrasspan/nodes';
+import {EventLog, describeError, waitMs} from '@sassafrasspan/runtime';
+import type {
+  WeightBlock,
+  WeightFiles,
+  WeightStore,
+} from '@sassafrasspan/weights';
+import {Result, err, ok} from 'neverthrow';
+
+const BLOCK_BYTES = 1_048_576;
+const HOLDER_POLL_MS = 200;
+const STORE_FALLBACK_MS = 3_000;
+const MAX_STORE_TRIES = 5;
+
+/** A weight version and where the store keeps it. */
+export interface WeightVersion {
+  readonly service: string;
+  readonly version: number;
+  readonly weightsKey: string;
+}
+
+/** What a source is built from. */
+export interface WeightSourceOptions {
+  readonly self: string;
+  readonly failureDomain: string;
+  readonly holders: readonly WeightHolder[];
+  readonly storeFetchesPerSecond: number;
+  readonly store: WeightStore;
+  /** Files on this VM's disk; undefined on a VM without one. */
+  readonly files: WeightFiles | undefined;
+  readonly log: EventLog;
+  /** Finds the address of an agent; undefined when it is not known. */
+  findAddress(agent: string): Promise<string | undefined>;
+}
+
+/** Brings weights to the engines of an agent. */
+export class WeightSource {
+  private readonly saves = new Map<string, Promise<void>>();
+
+  private constructor(private readonly options: WeightSourceOptions) {}
+
+  /** Builds a source. */
+  static create(options: WeightSourceOptions): WeightSource {
+    return new WeightSource(options);
+  }
+
+  /** Streams the whole of a version, or throws. */
+  async *streamVersion(wanted: WeightVersion): AsyncGenerator<Uint8Array> {
+    if (this.options.files === undefined) {
+      yield* this.streamRemote(wanted);
+      return;
+    }
+    await this.saveOnce(wanted);
+    yield* this.streamFile(this.options.files, wanted);
+  }
+
+  /** Saves a version to the disk; calls at the same time share one save. */
+  private saveOnce(wanted: WeightVersion): Promise<void> {
+    const key = formatVersion(wanted);
+    const known = this.saves.get(key);
+    if (known !== undefined) return known;
+    const save = this.saveVersion(wanted).finally(() => this.saves.delete(key));
+    this.saves.set(key, save);
+    return save;
+  }
+
+  private async saveVersion(wanted: WeightVersion): Promise<void> {
+    const {files} = this.options;
+    const {service, version} = wanted;
+    if (files === undefined || (await files.hasVersion(service, version))) {
+      return;
+    }
+    await files.saveVersion(service, version, this.streamRemote(wanted));
+  }
+
+  private async *streamFile(
+    files: WeightFiles,
+    wanted: WeightVersion,
+  ): AsyncGenerator<Uint8Array> {
+    const {service, version} = wanted;
+    for (let offset = 0; ;) {
+      const block = await files.readBlock(
+        service,
+        version,
+        offset,
+        BLOCK_BYTES,
+      );
+      if (block === undefined) throw new Error('the file is gone');
+      if (block.data.length === 0) return;
+      yield block.data;
+      offset += block.data.length;
+    }
+  }
+
+  /** Fetchers go to the store, all others copy; each falls back. */
+  private async *streamRemote(
+    wanted: WeightVersion,
+  ): AsyncGenerator<Uint8Array> {
+    const plan = planFetch({
+      ...this.options,
+      versionKey: formatVersion(wanted),
+    });
+    if (plan.isFetcher) {
+      await waitMs(plan.storeDelayMs);
+    } else {
+      const copied = await this.findCopy(wanted, plan.holders);
+      if (copied !== undefined) {
+        yield* this.streamCopy(wanted, copied);
+        return;
+      }
+    }
+    const opened = await this.openStore(wanted);
+    if (opened.isErr()) throw new Error(opened.error.detail);
+    yield* opened.value;
+  }
+
+  /** Waits until a holder has the version, up to the fallback time. */
+  private async findCopy(
+    wanted: WeightVersion,
+    holders: readonly string[],
+  ): Promise<AgentClient | undefined> {
+    if (holders.length === 0) return undefined;
+    for (let waited = 0; waited < STORE_FALLBACK_MS; waited += HOLDER_POLL_MS) {
+      for (const holder of holders) {
+        const client = await this.connectHolder(holder);
+        if (client === undefined) continue;
+        if ((await fetchBlock(client, wanted, 0)).isOk()) return client;
+        client.close();
+      }
+      await waitMs(HOLDER_POLL_MS);
+    }
+    return undefined;
+  }
+
+  private async connectHolder(name: string): Promise<AgentClient | undefined> {
+    const address = await this.options.findAddress(name);
+    return address === undefined ? undefined : AgentClient.create(address);
+  }
+
+  private async *streamCopy(
+    wanted: WeightVersion,
+    holder: AgentClient,
+  ): AsyncGenerator<Uint8Array> {
+    const hash = createHash('sha256');
+    try {
+      for (let offset = 0; ;) {
+        const block = await fetchBlock(holder, wanted, offset);
+        if (block.isErr()) throw new Error(block.error.detail);
+        const {data, totalLength, sha256} = block.value;
+        hash.update(data);
+        offset += data.length;
+        const isLast = offset >= totalLength;
+        if (isLast && hash.digest('hex') !== sha256) {
+          throw new Error('the copied weights are damaged');
+        }
+        yield data;
+        if (isLast) return;
+      }
+    } finally {
+      holder.close();
+    }
+  }
+
+  /** Opens the store, and comes back when it says so. */
+  private async openStore(
+    wanted: WeightVersion,
+  ): Promise<Result<AsyncIterable<Uint8Array>, ServiceError>> {
+    for (let tries = 1; ; tries++) {
+      const opened = await this.options.store.openWeights(wanted.weightsKey);
+      if (opened.isOk() || tries >= MAX_STORE_TRIES) return opened;
+      if (opened.error.kind !== 'overloaded') return opened;
+      await waitMs((opened.error.retryAfterMs ?? 0) + HOLDER_POLL_MS * tries);
+    }
+  }
+
+  /** Reads a block for another agent; an error when it is not here. */
+  async readBlock(
+    service: string,
+    version: number,
+    offset: number,
+  ): Promise<Result<WeightBlock, ServiceError>> {
+    try {
+      const found = await this.options.files?.readBlock(
+        service,
+        version,
+        offset,
+        BLOCK_BYTES,
+      );
+      if (found !== undefined) return ok(found);
+      return err(createError('not-found', `no weights ${service}/${version}`));
+    } catch (error) {
+      return err(createError('internal', describeError(error)));
+    }
+  }
+}
+
+async function fetchBlock(
+  holder: AgentClient,
+  wanted: WeightVersion,
+  fromOffset: number,
+): Promise<Result<WeightBlock, ServiceError>> {
+  const {service, version} = wanted;
+  return holder.fetchWeights({service, version, fromOffset});
+}
+
+function formatVersion(wanted: WeightVersion): string {
+  return `${wanted.service}/${wanted.version}`;
+}
--- a/packages/server/src/entry/version_publisher.ts
+++ b/packages/server/src/entry/version_publisher.ts
@@ -44,13 +44,8 @@
     if (current.success && current.data.version >= publication.version) {
       return settleOlder(current.data, publication);
     }
-    const head: PublishedVersion = {
-      service: service.value,
-      version: publication.version,
-      weightsKey: publication.weightsKey,
-      operationId: randomUUID(),
-      publishedAtMs: this.options.clock.readWallMs(),
-    };
+    const known = current.success ? current.data : undefined;
+    const head = this.createHead(service.value, publication, known);
     const objectVersion = found.value.version;
     const written = await this.options.store.writeObject(
       key,
@@ -66,6 +61,22 @@
     return ok(head);
   }
 
+  /** Builds the next head: a published version, or one announced ahead. */
+  private createHead(
+    service: string,
+    publication: VersionPublication,
+    current: PublishedVersion | undefined,
+  ): PublishedVersion {
+    const {version, weightsKey} = publication;
+    const operationId = randomUUID();
+    if (publication.isAnnouncement) {
+      const base = current ?? createFirstHead(service);
+      return {...base, operationId, announced: {version, weightsKey}};
+    }
+    const publishedAtMs = this.options.clock.readWallMs();
+    return {service, version, weightsKey, operationId, publishedAtMs};
+  }
+
   private findService(
     publication: VersionPublication,
   ): Result<string, ServiceError> {
@@ -96,6 +107,17 @@
   }
 }
 
+/** The head of a service before its first published version. */
+function createFirstHead(service: string): PublishedVersion {
+  return {
+    service,
+    version: 0,
+    weightsKey: '',
+    operationId: '',
+    publishedAtMs: 0,
+  };
+}
+
 function settleOlder(
   current: PublishedVersion,
   publication: VersionPublication,
--- a/packages/server/src/shared/settings_schemas.ts
+++ b/packages/server/src/shared/settings_schemas.ts
@@ -6,6 +6,7 @@
 const DEFAULT_MAX_OPEN = 2_000;
 const DEFAULT_SLOTS = 8;
 const DEFAULT_MAX_QUEUED = 64;
+const DEFAULT_FETCHES_PER_S = 4;
 const MAX_PORT = 65_535;
 
 const NAME = z.string().min(1);
@@ -105,7 +106,21 @@
 export const AGENT_SETTINGS_SCHEMA = z.strictObject({
   ...NODE_FIELDS,
   role: z.literal('agent'),
-  weightStoreUrl: HTTP_URL.optional(),
+  /** The rate-limited weight store; needed before engines can swap. */
+  weightStore: z
+    .strictObject({
+      url: HTTP_URL,
+      fetchesPerSecond: z.number().positive().default(DEFAULT_FETCHES_PER_S),
+    })
+    .optional(),
+  /** Address from which the engines of this VM take weights. */
+  weights: LISTEN_SCHEMA.default({host: '127.0.0.1', port: 0}),
+  /** Agents that keep weights on a disk, by name. */
+  weightHolders: z
+    .array(z.strictObject({name: NAME, failureDomain: NAME}))
+    .default([]),
+  /** Folder for bulk data, on a VM with a disk. */
+  dataFolder: z.string().min(1).optional(),
   endpoints: z.array(ENDPOINT_SCHEMA).min(1),
 });
 
--- a/packages/trainers/src/trainer_backend.ts
+++ b/packages/trainers/src/trainer_backend.ts
@@ -39,6 +39,8 @@
   readonly trainer: string;
   readonly version: number;
   readonly weightsKey: string;
+  /** Whether engines only stage the version, ahead of its publication. */
+  readonly isAnnouncement: boolean;
 }
 
 /** What the entry offers to trainers. */
--- a/packages/trainers/src/trainer_routes.ts
+++ b/packages/trainers/src/trainer_routes.ts
@@ -51,7 +51,12 @@
     {
       method: 'POST',
       path: '/v1/trainers/:trainer/versions',
-      handler: exchange => handlePublish(exchange, backend, limits),
+      handler: exchange => handlePublish(exchange, backend, limits, false),
+    },
+    {
+      method: 'POST',
+      path: '/v1/trainers/:trainer/versions/announced',
+      handler: exchange => handlePublish(exchange, backend, limits, true),
     },
   ];
 }
@@ -98,6 +103,7 @@
   exchange: HttpExchange,
   backend: TrainerBackend,
   limits: HttpLimits,
+  isAnnouncement: boolean,
 ): Promise<void> {
   const customer = authenticateCall(exchange.request, backend);
   if (customer.isErr()) return sendError(exchange.response, customer.error);
@@ -107,6 +113,7 @@
   const published = await backend.publishVersion({
     customer: customer.value,
     trainer: exchange.params.trainer,
+    isAnnouncement,
     ...body.value,
   });
   sendResult(exchange, published);
--- a/packages/weights/src/weight_store_client.ts
+++ b/packages/weights/src/weight_store_client.ts
@@ -4,15 +4,20 @@
 import {Result, err, ok} from 'neverthrow';
 import {request} from 'undici';
 
-const FETCH_TIMEOUT_MS = 60_000;
+const FETCH_TIMEOUT_MS = 600_000;
 const HTTP_OK = 200;
 const HTTP_TOO_MANY = 429;
 const MS_PER_SECOND = 1_000;
 
 /** What the system needs of the weight store. */
 export interface WeightStore {
-  /** Fetches the weights under a key; `overloaded` when over the limit. */
-  fetchWeights(key: string): Promise<Result<Uint8Array, ServiceError>>;
+  /**
+   * Opens the weights under a key as a stream of bytes; `overloaded` with a
+   * time to come back when the store is over its limit.
+   */
+  openWeights(
+    key: string,
+  ): Promise<Result<AsyncIterable<Uint8Array>, ServiceError>>;
 }
 
 /** Weight store over HTTP. */
@@ -24,13 +29,15 @@
     return new WeightStoreClient(baseUrl);
   }
 
-  async fetchWeights(key: string): Promise<Result<Uint8Array, ServiceError>> {
+  async openWeights(
+    key: string,
+  ): Promise<Result<AsyncIterable<Uint8Array>, ServiceError>> {
     try {
       const path = encodeURIComponent(key);
       const reply = await request(`${this.baseUrl}/weights/${path}`, {
         signal: AbortSignal.timeout(FETCH_TIMEOUT_MS),
       });
-      if (reply.statusCode === HTTP_OK) return ok(await reply.body.bytes());
+      if (reply.statusCode === HTTP_OK) return ok(reply.body);
       const detail = await reply.body.text();
       if (reply.statusCode !== HTTP_TOO_MANY) {
         return err(createError('endpoint-failed', detail));
