--- /dev/null
+++ b/packages/core/src/weights/fetch_plan.test.ts
@@ -0,0 +1,37 @@
+import {computeActivationDelay} from './activation_wave';
+import {WeightHolder, planFetch} from './fetch_plan';
+
+const DOMAINS = ['attica-a', 'attica-b', 'attica-c'];
+const HOLDERS: WeightHolder[] = DOMAINS.flatMap(failureDomain =>
+  [1, 2, 3].map(index => ({name: `${failureDomain}-${index}`, failureDomain})),
+);
+
+function planFor(self: string, failureDomain: string) {
+  return planFetch({
+    self,
+    failureDomain,
+    versionKey: 'lm/7',
+    holders: HOLDERS,
+    storeFetchesPerSecond: 2,
+  });
+}
+
+test('two holders of each failure domain fetch, spaced by the limit', () => {
+  const plans = HOLDERS.map(({name, failureDomain}) => {
+    const {isFetcher, storeDelayMs} = planFor(name, failureDomain);
+    return {name, isFetcher, storeDelayMs};
+  });
+  expect(plans).toMatchSnapshot();
+});
+
+test('others copy within their failure domain first', () => {
+  expect(planFor('worker', 'attica-b')).toMatchSnapshot();
+});
+
+test('a pool activates in two halves within half of its time', () => {
+  const pool = ['lm-1', 'lm-2', 'lm-3', 'lm-4', 'lm-5'];
+  const delays = pool.map(endpoint =>
+    computeActivationDelay({endpoint, pool, version: 3, withinMs: 7_000}),
+  );
+  expect(delays).toMatchSnapshot();
+});
--- a/packages/core/src/weights/fetch_plan.ts
+++ b/packages/core/src/weights/fetch_plan.ts
@@ -65,8 +65,9 @@
   );
   const fetchers: string[] = [];
   for (let place = 0; place < FETCHERS_PER_DOMAIN; place++) {
-    for (const names of byDomain)
+    for (const names of byDomain) {
       fetchers.push(...names.slice(place, place + 1));
+    }
   }
   return fetchers;
 }
--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -22,6 +22,8 @@
   readonly failureDomain: string;
   /** Options of the stand-in. */
   readonly options?: Readonly<Record<string, unknown>>;
+  /** Settings of the agent beyond those of every agent. */
+  readonly agent?: Readonly<Record<string, unknown>>;
 }
 
 /** One entry. */
@@ -167,6 +169,7 @@
           fencing: options.fencing ?? 'checks',
         },
       ],
+      ...plan.agent,
     });
     this.agents.set(name, node);
     return node;
