Spread rules from entries to agents and settle lost replies

Agents get rules from the entries that watch them and refuse work decided under newer ones; entries reconcile and retry. A restarted node is ready only after it read the head or its peers had time to answer.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from './errors/error_kinds';
 export * from './events/event_table';
 export * from './membership/fleet_view';
+export * from './membership/rules_survey';
 export * from './rollout/cursor';
 export * from './rollout/step_schemas';
 export * from './rollout/step_state';
--- a/packages/core/src/shared/platform_objects.ts
+++ b/packages/core/src/shared/platform_objects.ts
@@ -7,14 +7,30 @@
 /** Object that names the newest accepted rules revision. */
 export const RULES_HEAD_KEY = 'rules/head';
 
+/** How many accepted revisions the rules head names. */
+export const RECENT_REVISIONS = 100;
+
+/** Schema of an accepted revision as later heads name it. */
+const ACCEPTED_REVISION_SCHEMA = z.strictObject({
+  revision: z.number().int().positive(),
+  operationId: z.string(),
+});
+
 /** Schema of the rules head. */
 export const RULES_HEAD_SCHEMA = z.strictObject({
   revision: z.number().int().positive(),
   operationId: z.string(),
-  /** Key of the revision's body. */
+  /** Key of the immutable copy of the revision. */
   bodyKey: z.string(),
+  /** The revision itself, checked by the nodes that take it. */
+  body: z.unknown(),
+  /** Accepted revisions, newest first, this one included. */
+  recent: z.array(ACCEPTED_REVISION_SCHEMA),
 });
 
+/** An accepted revision as later heads name it. */
+export type AcceptedRevision = z.infer<typeof ACCEPTED_REVISION_SCHEMA>;
+
 /** The newest accepted rules revision. */
 export type RulesHead = z.infer<typeof RULES_HEAD_SCHEMA>;
 
--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -200,6 +200,7 @@
       operators: readAddress(known?.operatorsUrl),
       platform: {objectsUrl: platformUrl, vmsUrl: platformUrl},
       log: {level: this.plan.logLevel ?? 'info'},
+      seeds: this.describeNodes().filter(node => node.name !== name),
       ...fields,
     };
     const settingsFile = path.join(this.folder, `${name}.yaml`);
@@ -239,19 +240,30 @@
   }
 
   /** Writes the platform's VM list; the named VMs are leaving. */
-  async publishVms(leaving: readonly string[]): Promise<void> {
+  async publishVms(
+    leaving: readonly string[],
+    missing: readonly string[] = [],
+  ): Promise<void> {
+    const vms = this.describeNodes()
+      .filter(node => !missing.includes(node.name))
+      .map(node => ({
+        ...node,
+        state: leaving.includes(node.name) ? 'leaving' : 'live',
+      }));
+    await sendAdmin(`${this.platform.url}/admin/vms`, 'PUT', {vms});
+  }
+
+  private describeNodes() {
     const describeNode = (role: string) => (node: StartedNode) => ({
       name: node.name,
       role,
       failureDomain: node.failureDomain,
       address: this.peerRelays.get(node.name)?.getAddress() ?? node.peers,
-      state: leaving.includes(node.name) ? 'leaving' : 'live',
     });
-    const vms = [
+    return [
       ...[...this.entries.values()].map(describeNode('entry')),
       ...[...this.agents.values()].map(describeNode('agent')),
     ];
-    await sendAdmin(`${this.platform.url}/admin/vms`, 'PUT', {vms});
   }
 
   /** Sets faults of a stand-in. */
--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -14,6 +14,8 @@
   AgentNodeClient,
   FetchRulesReply,
   KeptAnswer,
+  OfferRulesReply,
+  OfferRulesRequest,
   ResumeRequest,
   RevokeReply,
   RevokeRequest,
@@ -54,6 +56,9 @@
   acknowledgeRun(requestId: string, cancel: boolean): void;
   listAnswers(prefix: string): Promise<Result<KeptAnswer[], ServiceError>>;
   fetchRules(newerThan: number): Promise<Result<FetchRulesReply, ServiceError>>;
+  offerRules(
+    request: OfferRulesRequest,
+  ): Promise<Result<OfferRulesReply, ServiceError>>;
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
@@ -136,6 +141,14 @@
     );
   }
 
+  offerRules(
+    request: OfferRulesRequest,
+  ): Promise<Result<OfferRulesReply, ServiceError>> {
+    return callUnary<OfferRulesReply>((metadata, options, done) =>
+      this.client.offerRules(request, metadata, options, done),
+    );
+  }
+
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -11,6 +11,8 @@
   type FetchRulesReply,
   type FetchRulesRequest,
   type KeptAnswer,
+  type OfferRulesReply,
+  type OfferRulesRequest,
   type ResumeRequest,
   type RevokeReply,
   type RevokeRequest,
--- a/packages/nodes/src/node_server.ts
+++ b/packages/nodes/src/node_server.ts
@@ -22,6 +22,8 @@
   FetchWeightsRequest,
   ListAnswersReply,
   ListAnswersRequest,
+  OfferRulesReply,
+  OfferRulesRequest,
   ResumeRequest,
   RevokeReply,
   RevokeRequest,
@@ -52,6 +54,7 @@
   listAnswers(request: ListAnswersRequest): ListAnswersReply;
   watch(request: WatchRequest, writer: MessageWriter<AgentHeartbeat>): void;
   fetchRules(request: FetchRulesRequest): FetchRulesReply;
+  offerRules(request: OfferRulesRequest): OfferRulesReply;
   fetchWeights(
     request: FetchWeightsRequest,
     writer: MessageWriter<WeightsChunk>,
@@ -80,6 +83,7 @@
       listAnswers: bindUnary(handlers.listAnswers),
       watch: bindStream(handlers.watch),
       fetchRules: bindUnary(handlers.fetchRules),
+      offerRules: bindUnary(handlers.offerRules),
       fetchWeights: bindStream(handlers.fetchWeights),
       drain: bindUnary(handlers.drain),
     };
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -1,10 +1,10 @@
 /** The agent: composition of its parts, start and graceful stop. */
 import {randomUUID} from 'node:crypto';
 import {
-  HEARTBEAT_INTERVAL_MS,
   Quarantine,
   RulesHolder,
   VERSION_HEAD_SCHEMA,
+  createError,
   formatVersionKey,
 } from '@sassafrasspan/core';
 import {
@@ -12,7 +12,10 @@
   AgentHeartbeat,
   MessageWriter,
   NodeServer,
+  RunFrame,
+  RunRequest,
   WireRunState,
+  encodeRefusal,
 } from '@sassafrasspan/nodes';
 import {ObjectClient} from '@sassafrasspan/platform';
 import {
@@ -24,6 +27,7 @@
   createEventLog,
   waitMs,
 } from '@sassafrasspan/runtime';
+import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
 import {ObjectWatch} from '../shared/object_watch';
 import {createOperatorsRoutes} from '../shared/operators_routes';
@@ -37,6 +41,7 @@
 const LOAD_INTERVAL_MS = 250;
 const DRAIN_POLL_MS = 50;
 const LINGER_MS = 1_000;
+const RULES_POLL_INTERVAL_MS = 60_000;
 
 /** Wire state of each status of a run. */
 const WIRE_STATES = {
@@ -61,6 +66,9 @@
   private readonly runs: AgentRuns;
   private readonly peerServer: NodeServer;
   private readonly operatorsServer: HttpServer;
+  private readonly heartbeats = HeartbeatStreams.create(() =>
+    this.createHeartbeat(),
+  );
   private readonly timers: NodeJS.Timeout[] = [];
   private isLeaving = false;
 
@@ -71,9 +79,12 @@
     this.feed = RulesFeed.create({
       store: this.store,
       holder: this.rules,
+      clock: SYSTEM_CLOCK,
       random: Math.random,
       log: this.log,
+      pollIntervalMs: RULES_POLL_INTERVAL_MS,
     });
+    this.rules.addListener(() => this.heartbeats.sendNow());
     this.units = new Map(
       settings.endpoints.map(item => [item.name, EndpointUnit.create(item)]),
     );
@@ -145,7 +156,7 @@
   }
 
   private isReady(): boolean {
-    return this.rules.getBook() !== undefined && !this.isLeaving;
+    return this.feed.isSettled() && !this.isLeaving;
   }
 
   private addTimer(intervalMs: number, task: () => void): void {
@@ -204,7 +215,7 @@
 
   private createHandlers(): AgentHandlers {
     return {
-      run: (request, writer) => this.runs.runRequest(request, writer),
+      run: (request, writer) => this.runRequest(request, writer),
       resume: (request, writer) => this.runs.resumeRun(request, writer),
       revoke: request => {
         const status = this.runs.revokeRun(
@@ -228,8 +239,9 @@
           totalLength: record.answer.getLength(),
         })),
       }),
-      watch: (_request, writer) => this.streamHeartbeats(writer),
+      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
+      offerRules: offer => this.feed.acceptOffer(offer),
       fetchWeights: (_request, writer) => writer.end(),
       drain: request => this.drainEndpoint(request.endpoint),
     };
@@ -249,11 +261,21 @@
     return {running: sumAll(running), queued: sumAll(queued)};
   }
 
-  private streamHeartbeats(writer: MessageWriter<AgentHeartbeat>): void {
-    const sendHeartbeat = () => writer.send(this.createHeartbeat());
-    const timer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
-    writer.addCloseListener(() => clearInterval(timer));
-    sendHeartbeat();
+  /** Refuses work that was decided under rules that are not here yet. */
+  private runRequest(
+    request: RunRequest,
+    writer: MessageWriter<RunFrame>,
+  ): void {
+    const held = this.rules.getRevisionNumber();
+    if (request.rulesRevision <= held) {
+      return this.runs.runRequest(request, writer);
+    }
+    const detail = `rules ${request.rulesRevision}, here ${held}`;
+    const {requestId} = request;
+    const error = createError('stale-rules', detail);
+    this.log.writeEvent('run-refused', {requestId, kind: error.kind, detail});
+    writer.send(encodeRefusal(request, error));
+    writer.end();
   }
 
   private createHeartbeat(): AgentHeartbeat {
--- a/packages/server/src/commands/rules_commands.ts
+++ b/packages/server/src/commands/rules_commands.ts
@@ -4,9 +4,9 @@
 import type {AttributedRule, RuleFault} from '@sassafrasspan/core';
 import {
   applyRules,
+  parseHeadRevision,
   parseRules,
   readRulesHead,
-  readRulesRevision,
 } from '@sassafrasspan/operators';
 import {ObjectClient} from '@sassafrasspan/platform';
 import {SYSTEM_CLOCK} from '@sassafrasspan/runtime';
@@ -117,7 +117,7 @@
     } else if (stored.value.head === undefined) {
       printFailure('no rules have been applied', EXIT_FAILED);
     } else {
-      const revision = await readRulesRevision(store, stored.value.head);
+      const revision = parseHeadRevision(stored.value.head);
       if (revision.isOk()) printLine(revision.value.text);
       else printFailure(revision.error.detail, EXIT_FAILED);
     }
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -65,6 +65,9 @@
   readonly priority: number;
 }
 
+/** Attempts that may end because agent and entry held other rules. */
+const MAX_RULES_RETRIES = 3;
+
 /** What a dispatcher is built from. */
 export interface DispatcherOptions {
   readonly entry: string;
@@ -167,6 +170,10 @@
         return undefined;
       }
       if (ended.outcome !== 'not-run') outcome = ended.outcome;
+      if (ended.error.kind === 'stale-rules' && number <= MAX_RULES_RETRIES) {
+        await this.options.directory.reconcileRules(chosen.value.agent);
+        continue;
+      }
       const error = withOutcome(ended.error, outcome);
       if (!this.prepareRetry(state, chosen.value, ended, number)) return error;
       const {requestId} = state.request;
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -1,13 +1,8 @@
 /** The entry: composition of its parts, start and graceful stop. */
 import {randomUUID} from 'node:crypto';
 import {createCallerRoutes} from '@sassafrasspan/callers';
-import {
-  FleetView,
-  HEARTBEAT_INTERVAL_MS,
-  Quarantine,
-  RulesHolder,
-} from '@sassafrasspan/core';
-import {EntryHeartbeat, MessageWriter, NodeServer} from '@sassafrasspan/nodes';
+import {FleetView, Quarantine, RulesHolder} from '@sassafrasspan/core';
+import {EntryHeartbeat, NodeServer} from '@sassafrasspan/nodes';
 import {ObjectClient, VmListClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
@@ -21,6 +16,7 @@
 } from '@sassafrasspan/runtime';
 import {ScoringClient, ScoringService} from '@sassafrasspan/scoring';
 import {TrainerBackend, createTrainerRoutes} from '@sassafrasspan/trainers';
+import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
 import {createOperatorsRoutes} from '../shared/operators_routes';
 import {RulesFeed, createRulesReply} from '../shared/rules_feed';
@@ -61,6 +57,9 @@
   private readonly callersServer: HttpServer;
   private readonly operatorsServer: HttpServer;
   private readonly scoring: ReadonlyMap<string, ScoringService>;
+  private readonly heartbeats = HeartbeatStreams.create(() =>
+    this.createHeartbeat(),
+  );
   private readonly timers: NodeJS.Timeout[] = [];
   private isLeaving = false;
 
@@ -71,9 +70,11 @@
     this.feed = RulesFeed.create({
       store: this.store,
       holder: this.rules,
+      clock: SYSTEM_CLOCK,
       random: Math.random,
       log: this.log,
     });
+    this.rules.addListener(() => this.heartbeats.sendNow());
     this.scoring = new Map(
       settings.scoring.map(item => [item.name, ScoringClient.create(item.url)]),
     );
@@ -94,7 +95,7 @@
       ...settings.limits,
     });
     this.peerServer = NodeServer.createEntry({
-      watch: (_request, writer) => this.streamHeartbeats(writer),
+      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       forwardStep: call => this.steps.answerForwarded(call),
     });
@@ -163,7 +164,7 @@
   }
 
   private isReady(): boolean {
-    return this.rules.getBook() !== undefined && !this.isLeaving;
+    return this.feed.isSettled() && !this.isLeaving;
   }
 
   private createDirectory(): NodeDirectory {
@@ -177,6 +178,7 @@
       feed: this.feed,
       quarantine: this.quarantine,
       clock: SYSTEM_CLOCK,
+      random: Math.random,
       log: this.log,
     });
   }
@@ -224,13 +226,6 @@
     };
   }
 
-  private streamHeartbeats(writer: MessageWriter<EntryHeartbeat>): void {
-    const sendHeartbeat = () => writer.send(this.createHeartbeat());
-    const timer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
-    writer.addCloseListener(() => clearInterval(timer));
-    sendHeartbeat();
-  }
-
   private createHeartbeat(): EntryHeartbeat {
     return {
       entry: this.settings.name,
--- a/packages/server/src/entry/node_directory.ts
+++ b/packages/server/src/entry/node_directory.ts
@@ -2,7 +2,13 @@
  * The nodes that an entry knows: found from seeds and the VM list, watched by
  * heartbeat streams.
  */
-import {Clock, FleetView, Quarantine, RulesHolder} from '@sassafrasspan/core';
+import {
+  Clock,
+  FleetView,
+  Quarantine,
+  RandomSource,
+  RulesHolder,
+} from '@sassafrasspan/core';
 import {
   AgentClient,
   AgentHeartbeat,
@@ -14,6 +20,7 @@
 import type {EventLog} from '@sassafrasspan/runtime';
 import type {RulesFeed} from '../shared/rules_feed';
 import {parseAgentReport} from './heartbeat_reader';
+import {RulesSpreader} from './rules_spreader';
 
 const REWATCH_DELAY_MS = 250;
 
@@ -31,6 +38,7 @@
   readonly feed: RulesFeed;
   readonly quarantine: Quarantine;
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: EventLog;
 }
 
@@ -59,9 +67,12 @@
 export class NodeDirectory {
   private readonly agents = new Map<string, WatchedNode<AgentClient>>();
   private readonly entries = new Map<string, WatchedEntry>();
+  private readonly spreader: RulesSpreader;
   private isStopped = false;
 
-  private constructor(private readonly options: NodeDirectoryOptions) {}
+  private constructor(private readonly options: NodeDirectoryOptions) {
+    this.spreader = RulesSpreader.create(options);
+  }
 
   /** Builds a directory that watches nobody yet. */
   static create(options: NodeDirectoryOptions): NodeDirectory {
@@ -134,8 +145,13 @@
     const nowMs = this.options.clock.readMonotonicMs();
     this.options.fleet.applyReport(parseAgentReport(heartbeat), nowMs);
     this.options.quarantine.addVerdicts(heartbeat.quarantined);
-    const {rulesRevision} = heartbeat;
-    void this.options.feed.followPeer(watched.client, rulesRevision);
+    const {agent, rulesRevision} = heartbeat;
+    this.spreader.recordAgent(agent, watched.client, rulesRevision);
+  }
+
+  /** Brings an agent and this entry to the newer rules of the two. */
+  async reconcileRules(agent: string): Promise<void> {
+    await this.spreader.reconcileAgent(agent);
   }
 
   private addEntry(node: KnownNode): void {
@@ -190,6 +206,7 @@
     watched.handle.cancel();
     watched.client.close();
     this.agents.delete(watched.node.name);
+    this.spreader.removeAgent(watched.node.name);
     this.options.fleet.removeAgent(watched.node.name);
   }
 
--- a/packages/server/src/shared/object_watch.ts
+++ b/packages/server/src/shared/object_watch.ts
@@ -1,6 +1,8 @@
 /**
- * Follows one object of the object API by long polls. Errors are retried with
- * growing, jittered delays, so that an outage does not end in a stampede.
+ * Follows one object of the object API by long polls, or by plain reads at an
+ * interval where long polls of every node would cost too many calls. Errors
+ * are retried with growing, jittered delays, so that an outage does not end
+ * in a stampede.
  */
 import type {RandomSource} from '@sassafrasspan/core';
 import type {ObjectStore, StoredObject} from '@sassafrasspan/platform';
@@ -9,6 +11,7 @@
 const WATCH_WAIT_MS = 15_000;
 const MIN_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 4_000;
+const POLL_START_SPREAD_MS = 2_000;
 
 /** Takes each newer state of the object; tells whether it could be used. */
 export type ObjectListener = (object: StoredObject) => Promise<boolean>;
@@ -20,6 +23,8 @@
   readonly listener: ObjectListener;
   readonly random: RandomSource;
   readonly log: EventLog;
+  /** Mean time between plain reads; undefined for long polls. */
+  readonly pollIntervalMs?: number;
 }
 
 /** A watch of one object. */
@@ -27,6 +32,7 @@
   private isStopped = false;
   private version = 0;
   private backoffMs = 0;
+  private isDown = false;
 
   private constructor(private readonly options: ObjectWatchOptions) {}
 
@@ -37,37 +43,54 @@
 
   /** Follows the object until stopped. */
   async run(): Promise<void> {
+    const isPolled = this.options.pollIntervalMs !== undefined;
+    if (isPolled) await waitMs(POLL_START_SPREAD_MS * this.options.random());
     while (!this.isStopped) {
-      const found = await this.options.store.watchObject(
-        this.options.key,
-        this.version,
-        WATCH_WAIT_MS,
-      );
+      const found = await this.callStore();
       if (this.isStopped) return;
       if (found.isErr()) await this.waitAfterError(found.error.detail);
       else await this.applyObject(found.value);
     }
   }
 
+  private callStore() {
+    const {store, key, pollIntervalMs} = this.options;
+    if (pollIntervalMs !== undefined) return store.readObject(key);
+    return store.watchObject(key, this.version, WATCH_WAIT_MS);
+  }
+
   private async applyObject(object: StoredObject): Promise<void> {
-    if (this.backoffMs > 0) {
+    if (this.isDown) {
       this.options.log.writeEvent('platform-up', {key: this.options.key});
     }
+    this.isDown = false;
+    if (object.version > this.version) {
+      const isApplied = await this.options.listener(object);
+      if (!isApplied) return this.waitBackoff();
+      this.version = object.version;
+    }
     this.backoffMs = 0;
-    if (object.version <= this.version) return;
-    const isApplied = await this.options.listener(object);
-    if (isApplied) this.version = object.version;
-    else await waitMs(MIN_BACKOFF_MS);
+    const {pollIntervalMs} = this.options;
+    if (pollIntervalMs !== undefined) await this.waitJittered(pollIntervalMs);
   }
 
   private async waitAfterError(detail: string): Promise<void> {
-    if (this.backoffMs === 0) {
+    if (!this.isDown) {
       const {key} = this.options;
       this.options.log.writeEvent('platform-down', {key, detail});
     }
+    this.isDown = true;
+    await this.waitBackoff();
+  }
+
+  private async waitBackoff(): Promise<void> {
     const doubled = Math.max(MIN_BACKOFF_MS, this.backoffMs * 2);
     this.backoffMs = Math.min(MAX_BACKOFF_MS, doubled);
-    await waitMs(this.backoffMs * (0.5 + this.options.random()));
+    await this.waitJittered(this.backoffMs);
+  }
+
+  private async waitJittered(meanMs: number): Promise<void> {
+    await waitMs(meanMs * (0.5 + this.options.random()));
   }
 
   /** Ends the watch after the call that is under way. */
--- a/packages/server/src/shared/rules_feed.ts
+++ b/packages/server/src/shared/rules_feed.ts
@@ -1,17 +1,25 @@
 /**
  * Brings newer rules revisions into a node: from the platform's object API,
- * and from peers whose heartbeats carry a higher revision.
+ * from peers whose heartbeats carry a higher revision, and from entries that
+ * offer theirs. Says when the node may work under what it holds.
  */
 import {
+  Clock,
   RULES_HEAD_KEY,
   RULES_HEAD_SCHEMA,
   RULES_REVISION_SCHEMA,
   RandomSource,
   RulesHolder,
+  RulesRevision,
+  RulesSurvey,
   ServiceError,
 } from '@sassafrasspan/core';
-import type {FetchRulesReply} from '@sassafrasspan/nodes';
-import {readRulesRevision} from '@sassafrasspan/operators';
+import type {
+  FetchRulesReply,
+  OfferRulesReply,
+  OfferRulesRequest,
+} from '@sassafrasspan/nodes';
+import {parseHeadRevision} from '@sassafrasspan/operators';
 import type {ObjectStore, StoredObject} from '@sassafrasspan/platform';
 import {EventLog, describeError} from '@sassafrasspan/runtime';
 import type {Result} from 'neverthrow';
@@ -26,21 +34,24 @@
 export interface RulesFeedOptions {
   readonly store: ObjectStore;
   readonly holder: RulesHolder;
+  readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
+  /** Mean time between reads of the head; undefined to watch it. */
+  readonly pollIntervalMs?: number;
 }
 
 /** Keeps the rules of a node up to date. */
 export class RulesFeed {
   private readonly watch: ObjectWatch;
+  private readonly survey: RulesSurvey;
   private isFetching = false;
 
   private constructor(private readonly options: RulesFeedOptions) {
+    this.survey = RulesSurvey.create(options.clock.readMonotonicMs());
     this.watch = ObjectWatch.create({
-      store: options.store,
+      ...options,
       key: RULES_HEAD_KEY,
-      random: options.random,
-      log: options.log,
       listener: object => this.applyHead(object),
     });
   }
@@ -60,19 +71,30 @@
     this.watch.stop();
   }
 
+  /** Tells whether the node may work under the rules it holds. */
+  isSettled(): boolean {
+    const held = this.options.holder.getRevisionNumber();
+    const nowMs = this.options.clock.readMonotonicMs();
+    return this.survey.checkSettled(held, nowMs);
+  }
+
+  /** Takes a head. A damaged one stays out until a newer head replaces it. */
   private async applyHead(object: StoredObject): Promise<boolean> {
     const head = RULES_HEAD_SCHEMA.safeParse(object.value);
-    if (!head.success) return true;
-    const own = this.options.holder.getRevisionNumber();
-    if (head.data.revision <= own) return true;
-    const found = await readRulesRevision(this.options.store, head.data);
-    if (found.isErr()) return false;
-    this.offerRevision(found.value, 'platform');
+    if (!head.success) {
+      this.rejectRevision(head.error.message);
+      return true;
+    }
+    const revision = parseHeadRevision(head.data);
+    if (revision.isErr()) this.rejectRevision(revision.error.detail);
+    else this.offerRevision(revision.value, 'platform');
+    this.survey.recordHead(this.options.holder.getRevisionNumber());
     return true;
   }
 
   /** Fetches the rules of a peer that says it holds a newer revision. */
   async followPeer(peer: RulesPeer, peerRevision: number): Promise<void> {
+    this.survey.recordPeer(peerRevision);
     const own = this.options.holder.getRevisionNumber();
     if (peerRevision <= own || this.isFetching) return;
     this.isFetching = true;
@@ -81,25 +103,34 @@
     if (reply.isOk()) this.applyReply(reply.value);
   }
 
+  /** Takes a revision that an entry offers. */
+  acceptOffer(offer: OfferRulesRequest): OfferRulesReply {
+    this.survey.recordPeer(offer.revision);
+    this.applyJson(offer.bodyJson);
+    return {revision: this.options.holder.getRevisionNumber()};
+  }
+
   private applyReply(reply: FetchRulesReply): void {
-    if (reply.bodyJson === '') return;
+    if (reply.bodyJson !== '') this.applyJson(reply.bodyJson);
+  }
+
+  private applyJson(bodyJson: string): void {
     try {
-      this.offerRevision(JSON.parse(reply.bodyJson), 'peer');
+      const parsed = RULES_REVISION_SCHEMA.safeParse(JSON.parse(bodyJson));
+      if (parsed.success) this.offerRevision(parsed.data, 'peer');
+      else this.rejectRevision(parsed.error.message);
     } catch (error) {
-      const detail = describeError(error);
-      this.options.log.writeEvent('rules-rejected', {detail});
+      this.rejectRevision(describeError(error));
     }
   }
 
-  private offerRevision(value: unknown, source: string): void {
-    const parsed = RULES_REVISION_SCHEMA.safeParse(value);
-    if (!parsed.success) {
-      const detail = parsed.error.message;
-      this.options.log.writeEvent('rules-rejected', {detail});
-      return;
-    }
-    if (!this.options.holder.offerRevision(parsed.data)) return;
-    const {revision} = parsed.data;
+  private rejectRevision(detail: string): void {
+    this.options.log.writeEvent('rules-rejected', {detail});
+  }
+
+  private offerRevision(value: RulesRevision, source: string): void {
+    if (!this.options.holder.offerRevision(value)) return;
+    const {revision} = value;
     this.options.log.writeEvent('rules-in-force', {revision, source});
   }
 }
