--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -15,6 +15,8 @@
   FetchRulesReply,
   FetchWeightsRequest,
   KeptAnswer,
+  OfferRulesReply,
+  OfferRulesRequest,
   ResumeRequest,
   RevokeReply,
   RevokeRequest,
@@ -60,6 +62,9 @@
   fetchWeights(
     request: FetchWeightsRequest,
   ): Promise<Result<WeightsChunk, ServiceError>>;
+  offerRules(
+    request: OfferRulesRequest,
+  ): Promise<Result<OfferRulesReply, ServiceError>>;
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
@@ -154,6 +159,14 @@
     });
   }
 
+  offerRules(
+    request: OfferRulesRequest,
+  ): Promise<Result<OfferRulesReply, ServiceError>> {
+    return callUnary<OfferRulesReply>((metadata, options, done) =>
+      this.client.offerRules(request, metadata, options, done),
+    );
+  }
+
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -12,6 +12,8 @@
   type FetchRulesRequest,
   type FetchWeightsRequest,
   type KeptAnswer,
+  type OfferRulesReply,
+  type OfferRulesRequest,
   type ResumeRequest,
   type RevokeReply,
   type RevokeRequest,
