--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './runs/answer_assembler';
 export * from './runs/answer_buffer';
 export * from './runs/endpoint_driver';
+export * from './runs/expiring_map';
 export * from './runs/quarantine';
 export * from './runs/retry_budget';
 export * from './runs/retry_decision';
--- a/packages/core/src/runs/run_table.ts
+++ b/packages/core/src/runs/run_table.ts
@@ -1,15 +1,24 @@
 /**
  * What an agent knows of the requests sent to it: which are queued, running,
- * finished or revoked. It is the one place that decides whether work starts.
+ * finished or revoked. It is the one place that decides whether work starts,
+ * and the one that may say that work did not run.
+ *
+ * Two memories make that statement safe. A tombstone keeps a refused or
+ * revoked attempt from starting for as long as a delayed dispatch of it could
+ * be admitted. A trace keeps the fact that an attempt has started after its
+ * answer is gone; whatever is older than traces are kept is `unknown`.
  */
 import {Result, err, ok} from 'neverthrow';
 import {ServiceError, createError} from '../errors/error_kinds';
 import {AnswerBuffer} from './answer_buffer';
+import {ExpiringMap} from './expiring_map';
 
 /** A dispatch whose newest seen tick is older than this does not start. */
 export const DISPATCH_TTL_MS = 4_000;
 /** How long an ended answer is kept for its entry after its budget. */
 export const ANSWER_KEEP_MS = 10_000;
+/** Bytes of ended answers that an agent keeps at most. */
+export const MAX_KEPT_BYTES = 8_388_608;
 
 /** What a dispatch says of itself and of the agent it is meant for. */
 export interface Dispatch {
@@ -24,25 +33,42 @@
   /** Last tick of the agent that the entry saw, in ms. */
   readonly seenTick: number;
   readonly budgetMs: number;
+  /** Name of the entry that sent the dispatch. */
+  readonly entry: string;
 }
 
 /** State of a run. */
 export type RunState = 'queued' | 'running' | 'finished';
 
-/** One request at the agent. */
+/** One attempt of a request at the agent. */
 export interface RunRecord {
+  /** Names the run among all runs of the agent. */
+  readonly key: string;
   readonly dispatch: Dispatch;
   state: RunState;
+  /** Whether nobody waits for the answer any more. */
+  isAbandoned: boolean;
   readonly answer: AnswerBuffer;
+  /** Names of the entries that follow the run. */
+  readonly entries: Set<string>;
   /** Tick at which the record may be forgotten. */
   expiresAtTick: number;
   readonly admittedAtTick: number;
 }
 
-/** How a dispatch was taken: as new work, or joined to a known run. */
-export interface Admission {
-  readonly record: RunRecord;
-  readonly isNew: boolean;
+/** How a dispatch was taken. */
+export type Admission =
+  | {readonly type: 'new'; readonly record: RunRecord}
+  | {readonly type: 'joined'; readonly record: RunRecord}
+  /** The attempt has started before and its answer is gone. */
+  | {readonly type: 'forgotten'; readonly error: ServiceError};
+
+/** What the agent holds against a dispatch at the moment it arrives. */
+export interface AdmissionGuard {
+  readonly rulesRevision: number;
+  readonly tick: number;
+  /** Refusal by the endpoint's condition; undefined when it takes work. */
+  readonly refusal: ServiceError | undefined;
 }
 
 /** What the agent says of a run that an entry asks about. */
@@ -56,21 +82,32 @@
   readonly seenTick: number;
 }
 
-/** A revoked request: attempts up to this one never start. */
-interface Tombstone {
-  readonly attempt: number;
-  readonly expiresAtTick: number;
+/** Names one attempt of a request; the newest one without an attempt. */
+export interface RunName {
+  readonly requestId: string;
+  readonly attempt?: number;
 }
 
 /** Settings of a run table. */
 export interface RunTableOptions {
   readonly incarnation: string;
+  /** Bytes of ended answers that are kept at most. */
+  readonly maxKeptBytes?: number;
+}
+
+/** Names an attempt among all runs of an agent. */
+export function formatRunKey(requestId: string, attempt: number): string {
+  return `${requestId}#${attempt}`;
 }
 
 /** The runs of one agent. */
 export class RunTable {
   private readonly records = new Map<string, RunRecord>();
-  private readonly tombstones = new Map<string, Tombstone>();
+  /** Highest refused or revoked attempt by request id. */
+  private readonly tombstones = ExpiringMap.create<number>();
+  /** Keys of started attempts whose records are gone. */
+  private readonly traces = ExpiringMap.create<true>();
+  private keptBytes = 0;
 
   private constructor(private readonly options: RunTableOptions) {}
 
@@ -79,53 +116,90 @@
     return new RunTable(options);
   }
 
-  /** Decides whether a dispatch may start, and records it if so. */
+  /**
+   * Decides whether a dispatch may start, and records it if so. What is known
+   * of the attempt goes before every reason to refuse it: a refusal states
+   * that the attempt has not run.
+   */
   admitDispatch(
     dispatch: Dispatch,
-    rulesRevision: number,
-    tick: number,
+    guard: AdmissionGuard,
   ): Result<Admission, ServiceError> {
-    const refusal = this.findRefusal(dispatch, rulesRevision, tick);
-    if (refusal !== undefined) return err(refusal);
-    const known = this.records.get(dispatch.requestId);
-    if (known !== undefined) return ok({record: known, isNew: false});
-    const record: RunRecord = {
-      dispatch,
-      state: 'queued',
-      answer: AnswerBuffer.create(),
-      admittedAtTick: tick,
-      expiresAtTick: tick + dispatch.budgetMs + ANSWER_KEEP_MS,
-    };
-    this.records.set(dispatch.requestId, record);
-    return ok({record, isNew: true});
+    if (dispatch.incarnation !== this.options.incarnation) {
+      return err(createError('wrong-incarnation', 'the agent has restarted'));
+    }
+    const known = this.findKnown(dispatch);
+    if (known !== undefined) return ok(known);
+    const refusal = this.findRefusal(dispatch, guard) ?? guard.refusal;
+    if (refusal !== undefined) {
+      this.writeTombstone(dispatch, guard.tick);
+      return err(refusal);
+    }
+    const record = createRecord(dispatch, guard.tick);
+    this.records.set(record.key, record);
+    this.blockEarlier(dispatch, guard.tick);
+    return ok({type: 'new', record});
+  }
+
+  private findKnown(dispatch: Dispatch): Admission | undefined {
+    const key = formatRunKey(dispatch.requestId, dispatch.attempt);
+    const record = this.records.get(key);
+    if (record !== undefined) {
+      if (!isSameWork(record.dispatch, dispatch)) return undefined;
+      record.entries.add(dispatch.entry);
+      return {type: 'joined', record};
+    }
+    if (!this.traces.has(key)) return undefined;
+    const detail = 'the attempt has run and its answer is gone';
+    const error = createError('agent-lost', detail, {outcome: 'ran'});
+    return {type: 'forgotten', error};
   }
 
   private findRefusal(
     dispatch: Dispatch,
-    rulesRevision: number,
-    tick: number,
+    guard: AdmissionGuard,
   ): ServiceError | undefined {
-    if (dispatch.incarnation !== this.options.incarnation) {
-      return createError('wrong-incarnation', 'the agent has restarted');
+    const {requestId, attempt} = dispatch;
+    if (this.records.has(formatRunKey(requestId, attempt))) {
+      return createError('conflict', `other work runs as ${requestId}`);
     }
-    if (tick - dispatch.seenTick > DISPATCH_TTL_MS) {
-      const age = tick - dispatch.seenTick;
+    const age = guard.tick - dispatch.seenTick;
+    if (age > DISPATCH_TTL_MS) {
       return createError('stale-dispatch', `last seen ${age} ms ago`);
     }
-    if (dispatch.rulesRevision < rulesRevision) {
-      const detail = `rules ${dispatch.rulesRevision}, here ${rulesRevision}`;
+    if (dispatch.rulesRevision < guard.rulesRevision) {
+      const detail = `rules ${dispatch.rulesRevision}, here ${guard.rulesRevision}`;
       return createError('stale-rules', detail);
     }
-    const tombstone = this.tombstones.get(dispatch.requestId);
-    if (tombstone !== undefined && dispatch.attempt <= tombstone.attempt) {
-      return createError('revoked', `attempt ${dispatch.attempt} was revoked`);
+    if (attempt <= (this.tombstones.get(requestId) ?? 0)) {
+      return createError('revoked', `attempt ${attempt} was revoked`);
     }
     return undefined;
   }
 
-  /** Finds a run by request id. */
-  findRecord(requestId: string): RunRecord | undefined {
-    return this.records.get(requestId);
+  /** A later attempt exists only once the earlier ones are given up. */
+  private blockEarlier(dispatch: Dispatch, tick: number): void {
+    const {requestId} = dispatch;
+    const attempt = dispatch.attempt - 1;
+    if (attempt > 0) this.writeTombstone({requestId, attempt}, tick);
+  }
+
+  /** Finds a run. */
+  findRecord(name: RunName): RunRecord | undefined {
+    const {requestId, attempt} = name;
+    if (attempt !== undefined) {
+      return this.records.get(formatRunKey(requestId, attempt));
+    }
+    const attempts = [...this.records.values()].filter(
+      record => record.dispatch.requestId === requestId,
+    );
+    attempts.sort((a, b) => b.dispatch.attempt - a.dispatch.attempt);
+    return attempts[0];
+  }
+
+  /** Finds a run by its key. */
+  findByKey(key: string): RunRecord | undefined {
+    return this.records.get(key);
   }
 
   /** Lists the runs whose request id begins with the prefix. */
@@ -144,63 +218,115 @@
 
   /** Records that the run has ended. */
   markFinished(record: RunRecord, tick: number): void {
+    if (record.state === 'finished') return;
     record.state = 'finished';
     const keepUntil = tick + ANSWER_KEEP_MS;
     record.expiresAtTick = Math.max(record.expiresAtTick, keepUntil);
+    this.keptBytes += record.answer.getLength();
+    if (record.isAbandoned) this.dropRecord(record);
+    this.trimKept();
   }
 
-  /** Takes a queued run out before it started. */
-  removeQueued(requestId: string): void {
-    const record = this.records.get(requestId);
-    if (record?.state === 'queued') this.records.delete(requestId);
+  /** Takes a queued run out as not run and tells its followers so. */
+  refuseQueued(record: RunRecord, error: ServiceError, tick: number): void {
+    if (record.state !== 'queued') return;
+    this.writeTombstone(record.dispatch, tick);
+    this.records.delete(record.key);
+    record.state = 'finished';
+    record.answer.fail({...error, outcome: 'not-run'});
   }
 
   /** Makes sure that a dispatch does not start, or tells what became of it. */
   revokeRun(revocation: Revocation, tick: number): RunStatus {
     if (revocation.incarnation !== this.options.incarnation) return 'unknown';
-    const record = this.records.get(revocation.requestId);
+    const record = this.findRecord(revocation);
     if (record === undefined) return this.revokeAbsent(revocation, tick);
     if (record.state !== 'queued') return record.state;
-    this.records.delete(revocation.requestId);
-    return this.writeTombstone(revocation, tick);
+    this.refuseQueued(record, createError('revoked', 'it was revoked'), tick);
+    return 'not-run';
   }
 
   /** A run that is not in the table may have been and be forgotten. */
   private revokeAbsent(revocation: Revocation, tick: number): RunStatus {
-    const wasTombstoned = this.tombstones.has(revocation.requestId);
-    const age = tick - revocation.seenTick;
-    if (!wasTombstoned && age > ANSWER_KEEP_MS) return 'unknown';
-    return this.writeTombstone(revocation, tick);
-  }
-
-  private writeTombstone(revocation: Revocation, tick: number): RunStatus {
-    const earlier = this.tombstones.get(revocation.requestId)?.attempt ?? 0;
-    this.tombstones.set(revocation.requestId, {
-      attempt: Math.max(earlier, revocation.attempt),
-      expiresAtTick: tick + DISPATCH_TTL_MS,
-    });
+    const {requestId, attempt} = revocation;
+    if (this.traces.has(formatRunKey(requestId, attempt))) return 'finished';
+    if (tick - revocation.seenTick > ANSWER_KEEP_MS) return 'unknown';
+    this.writeTombstone(revocation, tick);
     return 'not-run';
   }
 
-  /** Forgets a finished run whose entry has the whole answer. */
-  releaseRun(requestId: string): void {
-    const record = this.records.get(requestId);
-    if (record?.state === 'finished') this.records.delete(requestId);
+  private writeTombstone(name: Required<RunName>, tick: number): void {
+    const earlier = this.tombstones.get(name.requestId) ?? 0;
+    const attempt = Math.max(earlier, name.attempt);
+    this.tombstones.set(name.requestId, attempt, tick + DISPATCH_TTL_MS);
+  }
+
+  /**
+   * Notes that an entry waits no longer for a run. Returns true when no other
+   * entry follows it, so that unfinished work may be stopped.
+   */
+  releaseRun(record: RunRecord, entry: string): boolean {
+    record.entries.delete(entry);
+    if (entry !== '' && record.entries.size > 0) return false;
+    record.isAbandoned = true;
+    if (record.state === 'finished') this.dropRecord(record);
+    return true;
   }
 
   /** Forgets what has expired. */
   removeExpired(tick: number): void {
-    for (const [requestId, record] of this.records) {
+    for (const record of this.records.values()) {
       const isOver = record.state === 'finished' && record.expiresAtTick < tick;
-      if (isOver) this.records.delete(requestId);
+      if (isOver) this.dropRecord(record);
     }
-    for (const [requestId, tombstone] of this.tombstones) {
-      if (tombstone.expiresAtTick < tick) this.tombstones.delete(requestId);
+    this.tombstones.removeExpired(tick);
+    this.traces.removeExpired(tick);
+  }
+
+  /** Drops the oldest ended answers while too many bytes are kept. */
+  private trimKept(): void {
+    const limit = this.options.maxKeptBytes ?? MAX_KEPT_BYTES;
+    for (const record of this.records.values()) {
+      if (this.keptBytes <= limit) return;
+      if (record.state === 'finished') this.dropRecord(record);
     }
   }
 
+  private dropRecord(record: RunRecord): void {
+    if (!this.records.delete(record.key)) return;
+    this.keptBytes -= record.answer.getLength();
+    const until = record.admittedAtTick + ANSWER_KEEP_MS;
+    this.traces.set(record.key, true, until);
+  }
+
   /** Returns how many runs the table holds. */
   countRecords(): number {
     return this.records.size;
   }
+
+  /** Returns how many bytes of ended answers the table holds. */
+  countKeptBytes(): number {
+    return this.keptBytes;
+  }
+}
+
+function createRecord(dispatch: Dispatch, tick: number): RunRecord {
+  return {
+    key: formatRunKey(dispatch.requestId, dispatch.attempt),
+    dispatch,
+    state: 'queued',
+    isAbandoned: false,
+    answer: AnswerBuffer.create(),
+    entries: new Set([dispatch.entry]),
+    admittedAtTick: tick,
+    expiresAtTick: tick + dispatch.budgetMs + ANSWER_KEEP_MS,
+  };
+}
+
+function isSameWork(known: Dispatch, dispatch: Dispatch): boolean {
+  return (
+    known.customer === dispatch.customer &&
+    known.fingerprint === dispatch.fingerprint &&
+    known.endpoint === dispatch.endpoint
+  );
 }
--- a/packages/core/src/shared/clock.ts
+++ b/packages/core/src/shared/clock.ts
@@ -11,6 +11,12 @@
   readWallMs(): number;
 }
 
+/** Runs tasks later. */
+export interface Scheduler {
+  /** Runs a task after a delay in ms; returns a function that cancels it. */
+  schedule(delayMs: number, task: () => void): () => void;
+}
+
 /** A source of uniform numbers in [0, 1). */
 export type RandomSource = () => number;
 
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -184,7 +184,7 @@
     return sink.finish(state.report);
   }
   const error = createError('answer-incomplete', 'the engine closed early');
-  sink.fail({error, isCrash: true});
+  sink.fail({error, isCrash: false});
 }
 
 function applyEvent(data: string, state: StreamState, sink: RunSink): void {
--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -40,6 +40,12 @@
   cancel(): void;
 }
 
+/** An attempt as one entry follows it. */
+export interface RunOfEntry {
+  readonly attempt: number;
+  readonly entry: string;
+}
+
 /** What an entry can ask of an agent. */
 export interface AgentPeer {
   startRun(
@@ -51,7 +57,7 @@
     listener: StreamListener<RunFrame>,
   ): StreamHandle;
   revokeRun(request: RevokeRequest): Promise<Result<RevokeReply, ServiceError>>;
-  acknowledgeRun(requestId: string, cancel: boolean): void;
+  acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void;
   listAnswers(prefix: string): Promise<Result<KeptAnswer[], ServiceError>>;
   fetchRules(newerThan: number): Promise<Result<FetchRulesReply, ServiceError>>;
   watch(
@@ -111,9 +117,9 @@
     return reply;
   }
 
-  acknowledgeRun(requestId: string, cancel: boolean): void {
+  acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void {
     const deadline = Date.now() + UNARY_TIMEOUT_MS;
-    const request = {requestId, cancel};
+    const request = {requestId, cancel, ...run};
     const options = {deadline};
     this.client.acknowledge(request, new Metadata(), options, () => undefined);
   }
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -5,6 +5,7 @@
 export * from './node_server';
 export {
   RunState as WireRunState,
+  type AcknowledgeRequest,
   type AgentHeartbeat,
   type EndpointState,
   type EntryHeartbeat,
--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -1,5 +1,5 @@
 /** The clocks of the running process. */
-import type {Clock} from '@sassafrasspan/core';
+import type {Clock, Scheduler} from '@sassafrasspan/core';
 
 /** Clock of this process. */
 export const SYSTEM_CLOCK: Clock = {
@@ -7,6 +7,14 @@
   readWallMs: () => Date.now(),
 };
 
+/** Timers of this process. */
+export const SYSTEM_SCHEDULER: Scheduler = {
+  schedule: (delayMs, task) => {
+    const timer = setTimeout(task, delayMs);
+    return () => clearTimeout(timer);
+  },
+};
+
 /** Waits for a time in ms. */
 export function waitMs(delayMs: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, delayMs));
--- a/packages/runtime/src/undici_errors.ts
+++ b/packages/runtime/src/undici_errors.ts
@@ -1,16 +1,18 @@
 /** Reads what an error of `undici` says about the request that met it. */
 import {describeError} from './settings';
 
-const NOT_CONNECTED_CODES = new Set([
+const CONNECT_CODES = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
+  'ETIMEDOUT',
 ]);
-const TIMEOUT_CODES = new Set([
-  'UND_ERR_HEADERS_TIMEOUT',
-  'UND_ERR_BODY_TIMEOUT',
-  'UND_ERR_ABORTED',
+const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
+const BROKEN_CODES = new Set([
+  'ECONNABORTED',
+  'ECONNRESET',
+  'EPIPE',
+  'UND_ERR_SOCKET',
 ]);
 
 /** What is known after a failed call. */
@@ -22,20 +24,28 @@
   readonly message: string;
 }
 
-/** Classifies an error thrown by an HTTP call. */
+/**
+ * Classifies an error thrown by an HTTP call. The same system error can come
+ * from connecting and, later, from an established connection; only the former
+ * shows that nothing was sent.
+ */
 export function classifyCallError(error: unknown): CallFault {
-  const code = readCode(error);
-  const isUnsent = NOT_CONNECTED_CODES.has(code);
-  const isTimeout = TIMEOUT_CODES.has(code) || readName(error) === 'AbortError';
+  const code = readField(error, 'code');
+  const isUnsent = code === CONNECT_TIMEOUT_CODE || isConnectFault(error);
+  const isBroken = !isUnsent && BROKEN_CODES.has(code);
   const message = `${code} ${describeError(error)}`.trim();
-  return {isUnsent, isBroken: !isUnsent && !isTimeout, message};
+  return {isUnsent, isBroken, message};
 }
 
-function readCode(error: unknown): string {
-  if (typeof error !== 'object' || error === null) return '';
-  return 'code' in error ? String(error.code) : '';
+function isConnectFault(error: unknown): boolean {
+  if (error instanceof AggregateError) {
+    return error.errors.length > 0 && error.errors.every(isConnectFault);
+  }
+  const isConnect = readField(error, 'syscall') === 'connect';
+  return isConnect && CONNECT_CODES.has(readField(error, 'code'));
 }
 
-function readName(error: unknown): string {
-  return error instanceof Error ? error.name : '';
+function readField(error: unknown, name: 'code' | 'syscall'): string {
+  if (typeof error !== 'object' || error === null) return '';
+  return String(Reflect.get(error, name) ?? '');
 }
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -207,16 +207,11 @@
       run: (request, writer) => this.runs.runRequest(request, writer),
       resume: (request, writer) => this.runs.resumeRun(request, writer),
       revoke: request => {
-        const status = this.runs.revokeRun(
-          request.requestId,
-          request.attempt,
-          request.incarnation,
-          request.seenTick,
-        );
+        const status = this.runs.revokeRun(request);
         return {state: WIRE_STATES[status], incarnation: this.incarnation};
       },
       acknowledge: request => ({
-        found: this.runs.acknowledgeRun(request.requestId, request.cancel),
+        found: this.runs.acknowledgeRun(request),
       }),
       listAnswers: request => ({
         answers: this.runs.listRuns(request.prefix).map(record => ({
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -3,11 +3,12 @@
  * endpoints and keeps the answers until their entries have them.
  */
 import {
+  Admission,
   Clock,
-  Dispatch,
   EndpointCondition,
   ErrorKind,
   Quarantine,
+  Revocation,
   RunFailure,
   RunRecord,
   RunSink,
@@ -16,11 +17,14 @@
   ServiceError,
   Work,
   createError,
+  formatRunKey,
 } from '@sassafrasspan/core';
 import {
   ALIVE_INTERVAL_MS,
+  AcknowledgeRequest,
   MessageWriter,
   ResumeRequest,
+  RunIdentity,
   RunFrame,
   RunRequest,
   decodeWork,
@@ -29,6 +33,7 @@
   encodeRefusal,
 } from '@sassafrasspan/nodes';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
+import {Result, err, ok} from 'neverthrow';
 import type {EndpointUnit} from './endpoint_unit';
 
 /** Refusal for each condition in which an endpoint takes no work. */
@@ -73,38 +78,49 @@
 
   /** Takes a dispatch and streams its answer. */
   runRequest(request: RunRequest, writer: MessageWriter<RunFrame>): void {
-    const record = this.admitRequest(request);
-    if ('kind' in record) {
-      this.options.metrics.addCount('runs_refused_total', {kind: record.kind});
-      this.options.log.writeEvent('run-refused', {
-        requestId: request.requestId,
-        kind: record.kind,
-        detail: record.detail,
-      });
-      writer.send(encodeRefusal(request, record));
-      return writer.end();
+    const admitted = this.admitRequest(request);
+    if (admitted.isErr()) {
+      return this.refuseRun(request, admitted.error, writer);
+    }
+    const admission = admitted.value;
+    if (admission.type === 'forgotten') {
+      return sendFailure(request, admission.error, writer);
     }
-    this.streamAnswer(record, request.attempt, 0, writer);
+    this.streamAnswer(admission.record, request.attempt, 0, writer);
     this.startWaiting(request.endpoint);
   }
 
-  private admitRequest(request: RunRequest): RunRecord | ServiceError {
+  private refuseRun(
+    request: RunRequest,
+    error: ServiceError,
+    writer: MessageWriter<RunFrame>,
+  ): void {
+    const {kind, detail} = error;
+    const {requestId} = request;
+    this.options.metrics.addCount('runs_refused_total', {kind});
+    this.options.log.writeEvent('run-refused', {requestId, kind, detail});
+    writer.send(encodeRefusal(request, error));
+    writer.end();
+  }
+
+  private admitRequest(request: RunRequest): Result<Admission, ServiceError> {
     const unit = this.options.units.get(request.endpoint);
     if (unit === undefined) {
-      return createError('no-endpoint', `no endpoint ${request.endpoint} here`);
+      const detail = `no endpoint ${request.endpoint} here`;
+      return err(createError('no-endpoint', detail));
     }
     const work = decodeWork(request.work);
-    if (work === undefined) return createError('bad-request', 'no work');
-    const refusal = this.findRefusal(request, unit);
-    if (refusal !== undefined) return refusal;
-    const tick = this.options.clock.readMonotonicMs();
-    const dispatch: Dispatch = request;
-    const revision = this.options.getRulesRevision();
-    const admitted = this.table.admitDispatch(dispatch, revision, tick);
-    if (admitted.isErr()) return admitted.error;
-    const {record, isNew} = admitted.value;
-    if (!isNew) return record;
-    return this.queueRun(request, record, unit, work);
+    if (work === undefined) return err(createError('bad-request', 'no work'));
+    const admitted = this.table.admitDispatch(request, {
+      rulesRevision: this.options.getRulesRevision(),
+      tick: this.options.clock.readMonotonicMs(),
+      refusal: this.findRefusal(request, unit),
+    });
+    return admitted.andThen(admission => {
+      if (admission.type !== 'new') return ok(admission);
+      const refusal = this.queueRun(request, admission.record, unit, work);
+      return refusal === undefined ? ok(admission) : err(refusal);
+    });
   }
 
   private findRefusal(
@@ -125,21 +141,23 @@
     record: RunRecord,
     unit: EndpointUnit,
     work: Work,
-  ): RunRecord | ServiceError {
+  ): ServiceError | undefined {
     const isQueued = unit.queue.offerWork({
-      requestId: request.requestId,
+      requestId: record.key,
       customer: request.customer,
       priority: request.priority,
       expectedTokens: request.expectedTokens,
       deadlineTick: record.admittedAtTick + request.budgetMs,
     });
     if (!isQueued) {
-      this.table.removeQueued(request.requestId);
-      return createError('overloaded', 'the queue of the endpoint is full');
+      const detail = 'the queue of the endpoint is full';
+      const error = createError('overloaded', detail);
+      this.table.refuseQueued(record, error, record.admittedAtTick);
+      return error;
     }
     const {priority} = request;
-    this.pending.set(request.requestId, {work, priority});
-    return record;
+    this.pending.set(record.key, {work, priority});
+    return undefined;
   }
 
   /** Hands waiting work to an endpoint while it has free slots. */
@@ -155,22 +173,24 @@
 
   private startRun(
     unit: EndpointUnit,
-    requestId: string,
+    key: string,
     deadlineTick: number,
   ): void {
-    const record = this.table.findRecord(requestId);
-    const pending = this.pending.get(requestId);
-    this.pending.delete(requestId);
+    const record = this.table.findByKey(key);
+    const pending = this.pending.get(key);
+    this.pending.delete(key);
     if (record === undefined || pending === undefined) {
-      unit.queue.releaseSlot(requestId);
+      unit.queue.releaseSlot(key);
       return;
     }
-    const budgetMs = deadlineTick - this.options.clock.readMonotonicMs();
+    const {requestId} = record.dispatch;
+    const leftMs = deadlineTick - this.options.clock.readMonotonicMs();
+    const budgetMs = Math.max(1, leftMs);
     this.table.markRunning(record);
     this.options.log.writeEvent('run-started', {requestId});
     const run = {requestId, budgetMs, ...pending};
-    const sink = this.createSink(unit, record);
-    unit.handles.set(requestId, unit.driver.startRun(run, sink));
+    const handle = unit.driver.startRun(run, this.createSink(unit, record));
+    if (record.state === 'running') unit.handles.set(key, handle);
   }
 
   private createSink(unit: EndpointUnit, record: RunRecord): RunSink {
@@ -202,7 +222,7 @@
   private recordCrash(unit: EndpointUnit): void {
     if (unit.getCondition() === 'down') return;
     const fingerprints = [...unit.handles.keys()].flatMap(requestId => {
-      const record = this.table.findRecord(requestId);
+      const record = this.table.findByKey(requestId);
       return record === undefined ? [] : [record.dispatch.fingerprint];
     });
     unit.markCrashed();
@@ -217,8 +237,8 @@
   private endRun(unit: EndpointUnit, record: RunRecord): void {
     const {requestId} = record.dispatch;
     const tick = this.options.clock.readMonotonicMs();
-    unit.handles.delete(requestId);
-    unit.queue.releaseSlot(requestId);
+    unit.handles.delete(record.key);
+    unit.queue.releaseSlot(record.key);
     this.table.markFinished(record, tick);
     this.options.metrics.addCount('runs_ended_total', {
       endpoint: unit.settings.name,
@@ -229,18 +249,18 @@
     this.startWaiting(unit.settings.name);
   }
 
-  /** Streams a kept answer from an offset. */
+  /** Streams a kept answer from an offset; never that of another run. */
   resumeRun(request: ResumeRequest, writer: MessageWriter<RunFrame>): void {
-    const record = this.table.findRecord(request.requestId);
+    const own = this.options.incarnation;
+    const isOther = (request.incarnation ?? own) !== own;
+    const record = isOther ? undefined : this.table.findRecord(request);
+    const attempt = request.attempt ?? record?.dispatch.attempt ?? 0;
     if (record !== undefined) {
-      const {attempt} = record.dispatch;
+      record.entries.add(request.entry);
       return this.streamAnswer(record, attempt, request.fromOffset, writer);
     }
     const error = createError('agent-lost', 'the agent holds no such run');
-    const identity = {requestId: request.requestId, attempt: 0};
-    const value = encodeFailure(error);
-    writer.send({...identity, frame: {$case: 'failed', value}});
-    writer.end();
+    sendFailure({requestId: request.requestId, attempt}, error, writer);
   }
 
   private streamAnswer(
@@ -272,37 +292,36 @@
   }
 
   /** Makes sure that a dispatch does not start, or tells its state. */
-  revokeRun(
-    requestId: string,
-    attempt: number,
-    incarnation: string,
-    seenTick: number,
-  ): RunStatus {
+  revokeRun(revocation: Revocation): RunStatus {
     const tick = this.options.clock.readMonotonicMs();
-    const revocation = {requestId, attempt, incarnation, seenTick};
     const status = this.table.revokeRun(revocation, tick);
-    if (status === 'not-run') this.removeWaiting(requestId);
+    if (status === 'not-run') {
+      this.removeWaiting(
+        formatRunKey(revocation.requestId, revocation.attempt),
+      );
+    }
     return status;
   }
 
   /** Releases a kept answer, or cancels work that nobody waits for. */
-  acknowledgeRun(requestId: string, isCancel: boolean): boolean {
-    const record = this.table.findRecord(requestId);
+  acknowledgeRun(request: AcknowledgeRequest): boolean {
+    const record = this.table.findRecord(request);
     if (record === undefined) return false;
-    if (isCancel && record.state === 'queued') {
-      this.removeWaiting(requestId);
-      this.table.removeQueued(requestId);
-    }
+    const isUnfollowed = this.table.releaseRun(record, request.entry ?? '');
+    if (!isUnfollowed || !request.cancel) return true;
+    const tick = this.options.clock.readMonotonicMs();
+    const error = createError('revoked', 'the request was given up');
+    this.removeWaiting(record.key);
+    this.table.refuseQueued(record, error, tick);
     const unit = this.options.units.get(record.dispatch.endpoint);
-    if (isCancel) unit?.handles.get(requestId)?.cancel();
-    this.table.releaseRun(requestId);
+    unit?.handles.get(record.key)?.cancel();
     return true;
   }
 
-  private removeWaiting(requestId: string): void {
-    this.pending.delete(requestId);
+  private removeWaiting(key: string): void {
+    this.pending.delete(key);
     for (const unit of this.options.units.values()) {
-      unit.queue.removeWaiting(requestId);
+      unit.queue.removeWaiting(key);
     }
   }
 
@@ -323,13 +342,13 @@
     this.table.removeExpired(tick);
   }
 
-  private refuseExpired(requestId: string, tick: number): void {
-    this.pending.delete(requestId);
-    const record = this.table.findRecord(requestId);
+  private refuseExpired(key: string, tick: number): void {
+    this.pending.delete(key);
+    const record = this.table.findByKey(key);
     if (record === undefined) return;
     const detail = 'the deadline passed while the request waited';
-    record.answer.fail(createError('deadline-unmeetable', detail));
-    this.table.markFinished(record, tick);
+    const error = createError('deadline-unmeetable', detail);
+    this.table.refuseQueued(record, error, tick);
   }
 
   /** Takes no new work from now on. */
@@ -345,3 +364,15 @@
     );
   }
 }
+
+/** Ends a stream with a failure. */
+function sendFailure(
+  identity: RunIdentity,
+  error: ServiceError,
+  writer: MessageWriter<RunFrame>,
+): void {
+  const {requestId, attempt} = identity;
+  const value = encodeFailure(error);
+  writer.send({requestId, attempt, frame: {$case: 'failed', value}});
+  writer.end();
+}
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -24,7 +24,7 @@
   hashText,
 } from '@sassafrasspan/core';
 import {RunRequest, encodeWork} from '@sassafrasspan/nodes';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
+import {EventLog, Metrics, SYSTEM_SCHEDULER} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import type {NodeDirectory} from './node_directory';
 import {AttemptEnd, RunAttempt} from './run_attempt';
@@ -236,12 +236,16 @@
       agent,
       request: this.createRunRequest(state, target, number),
       sink: {
-        setHead: head => state.sink.setHead(head),
+        setHead: head => {
+          state.hasBytes = true;
+          state.sink.setHead(head);
+        },
         appendChunk: chunk => {
           state.hasBytes = true;
           state.sink.appendChunk(chunk);
         },
       },
+      scheduler: SYSTEM_SCHEDULER,
       onResume: reason =>
         this.options.log.writeEvent('answer-resumed', {requestId, reason}),
     });
--- a/packages/server/src/entry/run_attempt.ts
+++ b/packages/server/src/entry/run_attempt.ts
@@ -9,11 +9,13 @@
   AnswerEnd,
   AnswerHead,
   Outcome,
+  Scheduler,
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
 import {
   AgentPeer,
+  ResumeRequest,
   RunFrame,
   RunRequest,
   StreamHandle,
@@ -25,10 +27,11 @@
   decodeHead,
   decodeRefusal,
 } from '@sassafrasspan/nodes';
-import {waitMs} from '@sassafrasspan/runtime';
 
 const MAX_RESUMES = 3;
 const RESUME_DELAY_MS = 100;
+/** Time for the agent's own word on a passed deadline to arrive. */
+const DEADLINE_GRACE_MS = 500;
 
 /** How an attempt ended. */
 export type AttemptEnd =
@@ -55,16 +58,24 @@
   readonly agent: AgentPeer;
   readonly request: RunRequest;
   readonly sink: AttemptSink;
+  readonly scheduler: Scheduler;
   /** Called when the answer continues over a new connection. */
   onResume(reason: string): void;
 }
 
+/** Why an attempt is no longer followed. */
+type StopReason = 'cancelled' | 'deadline';
+
 /** One attempt of a request. */
 export class RunAttempt {
   private readonly assembler = AnswerAssembler.create();
   private handle: StreamHandle | undefined;
-  private isCancelled = false;
+  private stopReason: StopReason | undefined;
+  private interrupt: (() => void) | undefined;
   private isAccepted = false;
+  private hasHead = false;
+  /** Resumptions since the last frame that brought the answer on. */
+  private resumes = 0;
 
   private constructor(private readonly options: RunAttemptOptions) {}
 
@@ -75,112 +86,175 @@
 
   /** Dispatches the request and follows it to its end. */
   async run(): Promise<AttemptEnd> {
+    const {request, scheduler} = this.options;
+    const limitMs = request.budgetMs + DEADLINE_GRACE_MS;
+    const stopTimer = scheduler.schedule(limitMs, () => this.stop('deadline'));
+    const ended = await this.followRun();
+    stopTimer();
+    return ended;
+  }
+
+  private async followRun(): Promise<AttemptEnd> {
     const {agent, request} = this.options;
     let ended = await this.followFrames(listener =>
       agent.startRun(request, listener),
     );
-    for (let resumes = 0; ended.type === 'lost'; resumes++) {
-      if (this.isCancelled || resumes >= MAX_RESUMES) {
-        return this.settleLost(ended.reason);
-      }
-      if (!this.isAccepted && resumes > 0) return this.settleLost(ended.reason);
+    while (ended.type === 'lost') {
+      if (this.isGivenUp()) return this.settleLost(ended.reason);
       this.options.onResume(ended.reason);
-      await waitMs(RESUME_DELAY_MS * resumes);
+      await this.wait(RESUME_DELAY_MS * this.resumes);
+      this.resumes += 1;
+      if (this.stopReason !== undefined) return this.settleLost(ended.reason);
       ended = await this.followFrames(listener =>
-        agent.resumeRun(
-          {
-            requestId: request.requestId,
-            fromOffset: this.assembler.getOffset(),
-            entry: request.entry,
-          },
-          listener,
-        ),
+        agent.resumeRun(this.createResume(), listener),
       );
     }
-    agent.acknowledgeRun(request.requestId, ended.result.type !== 'whole');
+    this.acknowledge(ended.result.type !== 'whole');
     return ended.result;
   }
 
+  private isGivenUp(): boolean {
+    if (this.stopReason !== undefined) return true;
+    const limit = this.isAccepted ? MAX_RESUMES : 1;
+    return this.resumes >= limit;
+  }
+
+  private createResume(): ResumeRequest {
+    const {requestId, attempt, incarnation, entry} = this.options.request;
+    const fromOffset = this.assembler.getOffset();
+    return {requestId, attempt, incarnation, entry, fromOffset};
+  }
+
+  private wait(delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      this.options.scheduler.schedule(delayMs, resolve);
+    });
+  }
+
   /** Gives the attempt up. */
   cancel(): void {
-    this.isCancelled = true;
+    this.acknowledge(true);
+    this.stop('cancelled');
+  }
+
+  private stop(reason: StopReason): void {
+    this.stopReason ??= reason;
     this.handle?.cancel();
-    this.options.agent.acknowledgeRun(this.options.request.requestId, true);
+    this.interrupt?.();
+  }
+
+  private acknowledge(isCancel: boolean): void {
+    const {agent, request} = this.options;
+    const {requestId, attempt, entry} = request;
+    agent.acknowledgeRun(requestId, isCancel, {attempt, entry});
   }
 
   private followFrames(
     start: (listener: StreamListener<RunFrame>) => StreamHandle,
   ): Promise<StreamEnd> {
     return new Promise(resolve => {
-      const endStream = (result: AttemptEnd) => {
+      let isOver = false;
+      const endStream = (end: StreamEnd) => {
+        isOver = true;
         this.handle?.cancel();
-        resolve({type: 'ended', result});
+        resolve(end);
       };
+      this.interrupt = () => endStream({type: 'lost', reason: 'given up'});
       this.handle = start({
         receiveMessage: frame => {
+          if (isOver) return;
           const result = this.applyFrame(frame);
           if (result !== undefined) endStream(result);
         },
-        handleLoss: reason => resolve({type: 'lost', reason}),
+        handleLoss: reason => endStream({type: 'lost', reason}),
       });
     });
   }
 
-  private applyFrame(message: RunFrame): AttemptEnd | undefined {
-    if (message.requestId !== this.options.request.requestId) return undefined;
+  private applyFrame(message: RunFrame): StreamEnd | undefined {
+    const {requestId, attempt} = this.options.request;
+    const isOwn =
+      message.requestId === requestId && message.attempt === attempt;
+    if (!isOwn) return undefined;
     const {frame} = message;
     switch (frame?.$case) {
       case 'accepted':
-        this.isAccepted = true;
-        return undefined;
+        return this.applyAccepted(frame.value.incarnation);
       case 'refused':
-        return createFailure(decodeRefusal(frame.value), 'not-run');
+        return this.applyRefusal(decodeRefusal(frame.value));
       case 'head':
-        this.options.sink.setHead(decodeHead(frame.value));
+        this.applyHead(decodeHead(frame.value));
         return undefined;
       case 'chunk':
         return this.applyChunk(decodeChunk(frame.value));
       case 'end':
         return this.applyEnd(decodeEnd(frame.value));
-      case 'failed': {
-        const error = decodeFailure(frame.value);
-        return createFailure(error, error.outcome ?? 'unknown');
-      }
+      case 'failed':
+        return this.applyFailure(decodeFailure(frame.value));
       default:
         return undefined;
     }
   }
 
-  private applyChunk(chunk: AnswerChunk): AttemptEnd | undefined {
+  private applyAccepted(incarnation: string): StreamEnd | undefined {
+    if (incarnation !== this.options.request.incarnation) {
+      return {type: 'lost', reason: 'the agent has restarted'};
+    }
+    this.isAccepted = true;
+    return undefined;
+  }
+
+  /** A refusal states that nothing ran, unless the work is known to run. */
+  private applyRefusal(error: ServiceError): StreamEnd {
+    return endFailed(error, this.isAccepted ? 'unknown' : 'not-run');
+  }
+
+  private applyFailure(error: ServiceError): StreamEnd {
+    const isForgotten = error.kind === 'agent-lost';
+    if (isForgotten && error.outcome === 'unknown') {
+      this.resumes = MAX_RESUMES;
+      return {type: 'lost', reason: error.detail};
+    }
+    return endFailed(error, error.outcome ?? 'unknown');
+  }
+
+  private applyHead(head: AnswerHead): void {
+    if (this.hasHead) return;
+    this.hasHead = true;
+    this.options.sink.setHead(head);
+  }
+
+  private applyChunk(chunk: AnswerChunk): StreamEnd | undefined {
     const accepted = this.assembler.acceptChunk(chunk);
-    if (accepted.isErr()) return createFailure(accepted.error, 'unknown');
+    if (accepted.isErr()) return endFailed(accepted.error, 'unknown');
     if (accepted.value !== undefined) {
+      this.resumes = 0;
       this.options.sink.appendChunk(accepted.value);
     }
     return undefined;
   }
 
-  private applyEnd(end: AnswerEnd): AttemptEnd {
+  private applyEnd(end: AnswerEnd): StreamEnd {
     const accepted = this.assembler.acceptEnd(end);
-    if (accepted.isErr()) return createFailure(accepted.error, 'unknown');
-    return {type: 'whole', end: accepted.value};
+    if (accepted.isErr()) return endFailed(accepted.error, 'unknown');
+    return {type: 'ended', result: {type: 'whole', end: accepted.value}};
   }
 
   /** Asks the agent to make sure that lost work does not start. */
   private async settleLost(reason: string): Promise<AttemptEnd> {
     const {agent, request} = this.options;
-    const detail = `the agent was lost: ${reason}`;
-    const error = createError('agent-lost', detail);
-    const reply = await agent.revokeRun({
-      requestId: request.requestId,
-      attempt: request.attempt,
-      incarnation: request.incarnation,
-      seenTick: request.seenTick,
-    });
+    const isLate = this.stopReason === 'deadline';
+    const kind = isLate ? 'deadline-exceeded' : 'agent-lost';
+    const error = createError(kind, `the run was lost: ${reason}`);
+    if (this.stopReason === 'cancelled') return createFailure(error, 'unknown');
+    const {requestId, attempt, incarnation, seenTick} = request;
+    const revocation = {requestId, attempt, incarnation, seenTick};
+    const reply = await agent.revokeRun(revocation);
     const isNotRun =
       reply.isOk() &&
       reply.value.incarnation === request.incarnation &&
       reply.value.state === WireRunState.RUN_STATE_NOT_RUN;
+    if (!isNotRun) this.acknowledge(true);
     return createFailure(error, isNotRun ? 'not-run' : 'unknown');
   }
 }
@@ -188,3 +262,7 @@
 function createFailure(error: ServiceError, outcome: Outcome): AttemptEnd {
   return {type: 'failed', error: {...error, outcome}, outcome};
 }
+
+function endFailed(error: ServiceError, outcome: Outcome): StreamEnd {
+  return {type: 'ended', result: createFailure(error, outcome)};
+}
