Check settings and rules files, with faults that say what is expected

config check reads settings of either role, operators' settings and rules files. A fault names file, line, key, what is expected and what was found; a port in use is named by its key too, and a start that fails ends the whole process with exit code 2. Settings and rules for both deployments stand under examples/ and are checked by a test against the stated pools and domains.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -4,4 +4,5 @@
 export * from './log';
 export * from './metrics';
 export * from './settings';
+export * from './settings_expectations';
 export * from './undici_errors';
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -1,11 +1,14 @@
 /**
  * Settings files: YAML, checked by a schema, with faults that name file, line
- * and key.
+ * and key, and say what is expected there.
  */
 import {readFileSync} from 'node:fs';
 import {Result, err, ok} from 'neverthrow';
 import {Document, LineCounter, isNode, parseDocument} from 'yaml';
 import type {z} from 'zod';
+import {SettingsSchemaReader} from './settings_expectations';
+
+const MAX_SHOWN_LENGTH = 40;
 
 /** A fault of a settings file. */
 export interface SettingsFault {
@@ -17,15 +20,31 @@
   readonly reason: string;
 }
 
+/** An issue as the schema library reports it. */
+type SchemaIssue = z.core.$ZodIssue;
+
+/** A settings file that has been parsed as YAML. */
+interface ParsedFile {
+  readonly file: string;
+  readonly document: Document.Parsed;
+  readonly lines: LineCounter;
+}
+
 /** Reads and checks a settings file. */
 export function loadSettings<T>(
   file: string,
   schema: z.ZodType<T>,
 ): Result<T, SettingsFault[]> {
+  return readTextFile(file).andThen(text => parseSettings(file, text, schema));
+}
+
+/** Reads a text file; an unreadable one is a fault at its first line. */
+export function readTextFile(file: string): Result<string, SettingsFault[]> {
   try {
-    return parseSettings(file, readFileSync(file, 'utf8'), schema);
+    return ok(readFileSync(file, 'utf8'));
   } catch (error) {
-    return err([{file, line: 1, key: '', reason: describeError(error)}]);
+    const reason = `cannot be read: ${describeError(error)}`;
+    return err([{file, line: 1, key: '', reason}]);
   }
 }
 
@@ -49,27 +68,84 @@
   }
   const parsed = schema.safeParse(document.toJS());
   if (parsed.success) return ok(parsed.data);
+  const source = {file, document, lines};
+  const reader = SettingsSchemaReader.create(schema);
   return err(
-    parsed.error.issues.map(issue => ({
-      file,
-      line: findLine(document, lines, issue.path, issue),
-      key: issue.path.map(String).join('.'),
-      reason: issue.message,
-    })),
+    parsed.error.issues.flatMap(issue => explainIssue(source, reader, issue)),
   );
 }
 
-/** Finds the line of a key, or of its nearest parent that is there. */
+/** Turns an issue of the schema library into faults, one for each key. */
+function explainIssue(
+  source: ParsedFile,
+  reader: SettingsSchemaReader,
+  issue: SchemaIssue,
+): SettingsFault[] {
+  const path = issue.path.map(part => (typeof part === 'symbol' ? '' : part));
+  if (issue.code !== 'unrecognized_keys') {
+    return [createFault(source, path, explainValue(source, reader, path))];
+  }
+  const known = reader.listKeys(path).join(', ');
+  const reason = `unknown key; expected one of: ${known}`;
+  return issue.keys.map(key => createFault(source, [...path, key], reason));
+}
+
+function explainValue(
+  source: ParsedFile,
+  reader: SettingsSchemaReader,
+  path: ReadonlyArray<string | number>,
+): string {
+  const expected = reader.describeExpected(path);
+  const found = readValue(source, path);
+  if (found === undefined) return `is missing; expected ${expected}`;
+  return `expected ${expected}; found ${formatFound(found)}`;
+}
+
+function readValue(
+  source: ParsedFile,
+  path: ReadonlyArray<string | number>,
+): unknown {
+  if (path.length === 0) return source.document.toJS();
+  const node = source.document.getIn(path, true);
+  return isNode(node) ? node.toJS(source.document) : node;
+}
+
+function formatFound(value: unknown): string {
+  const text = JSON.stringify(value);
+  if (text.length <= MAX_SHOWN_LENGTH) return text;
+  return `${text.slice(0, MAX_SHOWN_LENGTH)}...`;
+}
+
+function createFault(
+  source: ParsedFile,
+  path: ReadonlyArray<string | number>,
+  reason: string,
+): SettingsFault {
+  const line = findLine(source.document, source.lines, path);
+  return {file: source.file, line, key: path.join('.'), reason};
+}
+
+/** Finds the line of a key of a settings file; 1 when it is not there. */
+export function findKeyLine(
+  file: string,
+  path: ReadonlyArray<string | number>,
+): number {
+  const lines = new LineCounter();
+  return readTextFile(file)
+    .map(text =>
+      findLine(parseDocument(text, {lineCounter: lines}), lines, path),
+    )
+    .unwrapOr(1);
+}
+
+/** Finds the line of a value, or of its nearest parent that is there. */
 function findLine(
   document: Document.Parsed,
   lines: LineCounter,
-  path: readonly PropertyKey[],
-  issue: {readonly code?: string; readonly keys?: readonly string[]},
+  path: ReadonlyArray<string | number>,
 ): number {
-  const keys = path.map(part => (typeof part === 'symbol' ? '' : part));
-  const full = issue.keys === undefined ? keys : [...keys, issue.keys[0]];
-  for (let length = full.length; length >= 0; length--) {
-    const node = document.getIn(full.slice(0, length), true);
+  for (let length = path.length; length >= 0; length--) {
+    const node = document.getIn(path.slice(0, length), true);
     if (isNode(node) && node.range) return lines.linePos(node.range[0]).line;
   }
   return 1;
@@ -83,5 +159,7 @@
 
 /** Returns the message of anything thrown. */
 export function describeError(error: unknown): string {
-  return error instanceof Error ? error.message : String(error);
+  const hasMessage =
+    typeof error === 'object' && error !== null && 'message' in error;
+  return String(hasMessage ? error.message : error);
 }
--- /dev/null
+++ b/packages/server/src/commands/check_file.test.ts
@@ -0,0 +1,83 @@
+/** Faults of files name file, line, key and what is expected. */
+import {readFileSync, readdirSync} from 'node:fs';
+import path from 'node:path';
+import {formatSettingsFault} from '@sassafrasspan/runtime';
+import {parse} from 'yaml';
+import {checkFile, checkText} from './check_file';
+
+const EXAMPLES = path.join(__dirname, '../../../../examples');
+const ENTRY = readFileSync(path.join(EXAMPLES, 'kyklos/entry-1.yaml'), 'utf8');
+const AGENT = readFileSync(
+  path.join(EXAMPLES, 'kyklos/agent-lm-1.yaml'),
+  'utf8',
+);
+
+test.each([
+  ['an unknown key', ENTRY.replace('log:', 'logs:')],
+  ['an unknown key inside', ENTRY.replace('maxBodyBytes', 'maxBodyKb')],
+  ['a wrong unit', ENTRY.replace('30000', '30s')],
+  ['a wrong type', ENTRY.replace('port: 4000', 'port: http')],
+  ['a missing address', ENTRY.replace(/^callers:.*\n/m, '')],
+  ['a missing part of an address', ENTRY.replace(', port: 4200', '')],
+  ['a URL of another scheme', AGENT.replace('http://10.10.0.30', 'ftp://x')],
+  ['no endpoint', AGENT.replace(/endpoints:\n.*\n/, 'endpoints: []\n')],
+  ['a kind that is not known', AGENT.replace('kind: engine', 'kind: lm')],
+  ['two faults', AGENT.replace('level: info', 'level: 3').replace('name', 'n')],
+  ['another role', ENTRY.replace('role: entry', 'role: router')],
+  ['text that is no YAML', 'role: entry\nname: [\n'],
+  ['an empty file', ''],
+  ['a rules file', 'rules:\n  - {id: a, kind: wish}  # ops\n'],
+])('%s', (_name, text) => {
+  const checked = checkText('node.yaml', text);
+  const faults = checked.isErr() ? checked.error : [];
+  expect(faults.map(formatSettingsFault)).toMatchSnapshot();
+});
+
+test('a file that is not there is a fault', () => {
+  const checked = checkFile('missing/node.yaml');
+  const faults = checked.isErr() ? checked.error : [];
+  expect(faults.map(formatSettingsFault)).toMatchSnapshot();
+});
+
+/** The part of an example that the checks below read. */
+interface ExampleFile {
+  readonly role?: string;
+  readonly failureDomain?: string;
+  readonly endpoints?: ReadonlyArray<{readonly name: string; service: string}>;
+  readonly rules?: ReadonlyArray<{
+    readonly kind: string;
+    readonly service: string;
+    readonly endpoints: readonly string[];
+  }>;
+}
+
+describe.each(['kyklos', 'leoben'])('the example of %s', deployment => {
+  const folder = path.join(EXAMPLES, deployment);
+  const files = readdirSync(folder).map(name => path.join(folder, name));
+
+  test.each(files)('%s holds', file => {
+    const checked = checkFile(file);
+    expect(checked.isErr() ? checked.error : []).toEqual([]);
+  });
+
+  test('has the sizes and failure domains of its deployment', () => {
+    const contents = files.map(
+      file => parse(readFileSync(file, 'utf8')) as ExampleFile,
+    );
+    const domains = contents.flatMap(item => item.failureDomain ?? []);
+    const placed = contents.flatMap(item => item.endpoints ?? []);
+    const pools = contents
+      .flatMap(item => item.rules ?? [])
+      .filter(rule => rule.kind === 'pool');
+    for (const pool of pools) {
+      const names = placed
+        .filter(endpoint => endpoint.service === pool.service)
+        .map(endpoint => endpoint.name);
+      expect(names.sort()).toEqual([...pool.endpoints].sort());
+    }
+    expect({
+      domains: [...new Set(domains)].sort(),
+      pools: pools.map(pool => `${pool.service}: ${pool.endpoints.length}`),
+    }).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/packages/server/src/commands/check_file.ts
@@ -0,0 +1,63 @@
+/** Checks any file that operators write: settings of a role, or rules. */
+import {parseRules} from '@sassafrasspan/operators';
+import {
+  SettingsFault,
+  parseSettings,
+  readTextFile,
+} from '@sassafrasspan/runtime';
+import {Result, err, ok} from 'neverthrow';
+import {parseDocument} from 'yaml';
+import {
+  SETTINGS_SCHEMAS,
+  SettingsRole,
+  isSettingsRole,
+} from '../shared/settings_schemas';
+
+const RULES_KEY = 'rules';
+
+/** A file that holds, in a few words. */
+export type FileSummary = string;
+
+/** Checks a file by what it holds; returns a summary or its faults. */
+export function checkFile(file: string): Result<FileSummary, SettingsFault[]> {
+  return readTextFile(file).andThen(text => checkText(file, text));
+}
+
+/** Checks the text of a file by what it holds. */
+export function checkText(
+  file: string,
+  text: string,
+): Result<FileSummary, SettingsFault[]> {
+  const root = readRoot(text);
+  if (Object.hasOwn(root, RULES_KEY)) return checkRulesText(file, text);
+  if (isSettingsRole(root.role)) return checkSettings(file, text, root.role);
+  const syntax = parseDocument(text).errors.length > 0;
+  if (syntax) return checkSettings(file, text, 'entry');
+  const expected = Object.keys(SETTINGS_SCHEMAS).join(', ');
+  const reason = `expected one of ${expected}, or a list "rules:" at the top`;
+  return err([{file, line: 1, key: 'role', reason}]);
+}
+
+function readRoot(text: string): Readonly<Record<string, unknown>> {
+  const value: unknown = parseDocument(text).toJS();
+  const isMapping = typeof value === 'object' && value !== null;
+  return isMapping ? (value as Readonly<Record<string, unknown>>) : {};
+}
+
+function checkSettings(
+  file: string,
+  text: string,
+  role: SettingsRole,
+): Result<FileSummary, SettingsFault[]> {
+  const parsed = parseSettings<unknown>(file, text, SETTINGS_SCHEMAS[role]);
+  return parsed.map(() => `settings of role ${role}`);
+}
+
+function checkRulesText(
+  file: string,
+  text: string,
+): Result<FileSummary, SettingsFault[]> {
+  const parsed = parseRules(text);
+  if (parsed.isOk()) return ok(`${parsed.value.length} rules`);
+  return err(parsed.error.map(fault => ({file, key: '', ...fault})));
+}
--- a/packages/server/src/commands/rules_commands.ts
+++ b/packages/server/src/commands/rules_commands.ts
@@ -1,5 +1,4 @@
 /** The `rules` commands: check, apply, show and history. */
-import {readFileSync} from 'node:fs';
 import {userInfo} from 'node:os';
 import type {AttributedRule, RuleFault} from '@sassafrasspan/core';
 import {
@@ -9,7 +8,7 @@
   readRulesRevision,
 } from '@sassafrasspan/operators';
 import {ObjectClient} from '@sassafrasspan/platform';
-import {SYSTEM_CLOCK} from '@sassafrasspan/runtime';
+import {SYSTEM_CLOCK, readTextFile} from '@sassafrasspan/runtime';
 import {
   command,
   number,
@@ -19,9 +18,13 @@
   string,
   subcommands,
 } from 'cmd-ts';
-import {EXIT_USAGE} from './run_node';
-
-const EXIT_FAILED = 1;
+import {
+  EXIT_FAILED,
+  EXIT_USAGE,
+  printFailure,
+  printFaults,
+  printLine,
+} from './output';
 
 const OBJECTS_OPTION = option({
   type: string,
@@ -34,15 +37,6 @@
   description: 'rules file',
 });
 
-function printLine(text: string): void {
-  process.stdout.write(`${text}\n`);
-}
-
-function printFailure(text: string, exitCode: number): void {
-  process.stderr.write(`${text}\n`);
-  process.exitCode = exitCode;
-}
-
 /** A rules file that has passed its checks. */
 interface CheckedRules {
   readonly text: string;
@@ -50,7 +44,12 @@
 }
 
 function readRulesFile(file: string): CheckedRules | undefined {
-  const text = readFileSync(file, 'utf8');
+  const read = readTextFile(file);
+  if (read.isErr()) {
+    printFaults(read.error);
+    return undefined;
+  }
+  const text = read.value;
   const parsed = parseRules(text);
   if (parsed.isOk()) return {text, rules: parsed.value};
   for (const fault of parsed.error) printRuleFault(file, fault);
--- a/packages/server/src/commands/run_node.ts
+++ b/packages/server/src/commands/run_node.ts
@@ -1,19 +1,20 @@
 /** Runs a node until it is told to stop. */
 import {
   SettingsFault,
-  formatSettingsFault,
+  describeError,
+  findKeyLine,
   loadSettings,
 } from '@sassafrasspan/runtime';
-import type {z} from 'zod';
 import {AgentProcess} from '../agent/agent_process';
 import {EntryProcess} from '../entry/entry_process';
 import {
   AGENT_SETTINGS_SCHEMA,
   ENTRY_SETTINGS_SCHEMA,
+  NodeSettings,
 } from '../shared/settings_schemas';
+import {EXIT_USAGE, printFaults} from './output';
 
-/** Exit code for faults in files or arguments. */
-export const EXIT_USAGE = 2;
+const LISTEN_KEYS = ['peers', 'operators', 'callers'] as const;
 
 /** A process that can be started and stopped. */
 interface NodeProcess {
@@ -23,34 +24,25 @@
 
 /** Starts an entry from its settings file. */
 export async function runEntry(file: string): Promise<void> {
-  const settings = readSettings(file, ENTRY_SETTINGS_SCHEMA);
-  if (settings !== undefined) await runProcess(EntryProcess.create(settings));
+  const settings = loadSettings(file, ENTRY_SETTINGS_SCHEMA);
+  if (settings.isErr()) return printFaults(settings.error);
+  await runProcess(file, settings.value, EntryProcess.create(settings.value));
 }
 
 /** Starts an agent from its settings file. */
 export async function runAgent(file: string): Promise<void> {
-  const settings = readSettings(file, AGENT_SETTINGS_SCHEMA);
-  if (settings !== undefined) await runProcess(AgentProcess.create(settings));
-}
-
-function readSettings<T>(file: string, schema: z.ZodType<T>): T | undefined {
-  const settings = loadSettings(file, schema);
-  if (settings.isOk()) return settings.value;
-  printFaults(settings.error);
-  return undefined;
-}
-
-/** Prints faults of a settings file and sets the exit code. */
-export function printFaults(faults: readonly SettingsFault[]): void {
-  for (const fault of faults) {
-    process.stderr.write(`${formatSettingsFault(fault)}\n`);
-  }
-  process.exitCode = EXIT_USAGE;
+  const settings = loadSettings(file, AGENT_SETTINGS_SCHEMA);
+  if (settings.isErr()) return printFaults(settings.error);
+  await runProcess(file, settings.value, AgentProcess.create(settings.value));
 }
 
 /** Prints the addresses as one line of JSON, then runs until a signal. */
-async function runProcess(node: NodeProcess): Promise<void> {
-  const addresses = await node.start();
+async function runProcess(
+  file: string,
+  settings: NodeSettings,
+  node: NodeProcess,
+): Promise<void> {
+  const addresses = await startOrExit(file, settings, node);
   process.stdout.write(`${JSON.stringify(addresses)}\n`);
   const stopNode = () => {
     void node.stop().then(() => process.exit(0));
@@ -58,3 +50,34 @@
   process.on('SIGTERM', stopNode);
   process.on('SIGINT', stopNode);
 }
+
+/** Starts a node; a start that fails ends the process, all of it. */
+async function startOrExit(
+  file: string,
+  settings: NodeSettings,
+  node: NodeProcess,
+): Promise<unknown> {
+  try {
+    return await node.start();
+  } catch (error) {
+    printFaults([explainStartFault(file, settings, describeError(error))]);
+    process.exit(EXIT_USAGE);
+  }
+}
+
+/** Names the address of the settings that an error of `listen` is about. */
+function explainStartFault(
+  file: string,
+  settings: NodeSettings,
+  message: string,
+): SettingsFault {
+  const listened = {callers: undefined, ...settings};
+  const key = LISTEN_KEYS.find(name => {
+    const address = listened[name];
+    return message.includes(`${address?.host}:${address?.port}`);
+  });
+  if (key === undefined) return {file, line: 1, key: '', reason: message};
+  const line = findKeyLine(file, [key, 'port']);
+  const reason = `expected an address that is free; ${message}`;
+  return {file, line, key: `${key}.port`, reason};
+}
--- a/packages/server/src/main.ts
+++ b/packages/server/src/main.ts
@@ -1,5 +1,14 @@
 /** The command line of the one binary. */
-import {binary, command, positional, run, string, subcommands} from 'cmd-ts';
+import {
+  binary,
+  command,
+  positional,
+  runSafely,
+  string,
+  subcommands,
+} from 'cmd-ts';
+import {CONFIG_COMMAND} from './commands/config_commands';
+import {EXIT_USAGE} from './commands/output';
 import {RULES_COMMAND} from './commands/rules_commands';
 import {runAgent, runEntry} from './commands/run_node';
 
@@ -27,9 +36,21 @@
   subcommands({
     name: 'sassafrasspan',
     version: '0.1.0',
-    description: 'A rollout service for reinforcement learning.',
-    cmds: {entry, agent, rules: RULES_COMMAND},
+    description:
+      'A rollout service for reinforcement learning. Exit codes: 0 done; ' +
+      '1 the system refused, does not answer, or breaks a promise; ' +
+      '2 faults in files or arguments.',
+    cmds: {entry, agent, config: CONFIG_COMMAND, rules: RULES_COMMAND},
   }),
 );
 
-void run(cli, process.argv);
+/** Runs the named command; wrong arguments exit with `EXIT_USAGE`. */
+async function runCommandLine(): Promise<void> {
+  const result = await runSafely(cli, process.argv);
+  if (result._tag === 'ok') return;
+  const {message, exitCode, into} = result.error.config;
+  process[into].write(`${message}\n`);
+  process.exitCode = exitCode === 0 ? 0 : EXIT_USAGE;
+}
+
+void runCommandLine();
--- a/packages/server/src/shared/settings_schemas.ts
+++ b/packages/server/src/shared/settings_schemas.ts
@@ -1,4 +1,4 @@
-/** Schemas of the settings files of entries and agents. */
+/** Schemas of the settings files of entries, agents and operators. */
 import {DEFAULT_HTTP_LIMITS} from '@sassafrasspan/runtime';
 import {z} from 'zod';
 
@@ -8,57 +8,69 @@
 const DEFAULT_MAX_QUEUED = 64;
 const MAX_PORT = 65_535;
 
-const NAME = z.string().min(1);
-const HTTP_URL = z.url({protocol: /^https?$/, error: 'an http:// URL'});
+const NAME = z.string().min(1).describe('a name');
+const HTTP_URL = z
+  .url({protocol: /^https?$/})
+  .describe('a URL that begins with http:// or https://');
+const DURATION_MS = z
+  .number()
+  .int()
+  .positive()
+  .describe('a positive whole number of milliseconds, without a unit');
+const BYTES = z
+  .number()
+  .int()
+  .positive()
+  .describe('a positive whole number of bytes, without a unit');
+const COUNT = z.number().int().positive().describe('a positive whole number');
+const PORT = z
+  .number()
+  .int()
+  .min(0)
+  .max(MAX_PORT)
+  .describe('a port from 0 to 65535; 0 takes any free one');
 
 /** Schema of an address that a process listens on. */
-export const LISTEN_SCHEMA = z.strictObject({
-  host: z.string().min(1),
-  port: z.number().int().min(0).max(MAX_PORT),
-});
+export const LISTEN_SCHEMA = z
+  .strictObject({
+    host: z.string().min(1).describe('an IP address to listen on'),
+    port: PORT,
+  })
+  .describe('an address to listen on: {host: 10.0.0.1, port: 4000}');
 
-const PLATFORM_SCHEMA = z.strictObject({
-  objectsUrl: HTTP_URL,
-  vmsUrl: HTTP_URL,
-});
+const PLATFORM_SCHEMA = z
+  .strictObject({objectsUrl: HTTP_URL, vmsUrl: HTTP_URL})
+  .describe('a mapping of objectsUrl and vmsUrl');
+
+const ROLE = z.enum(['entry', 'agent']).describe('entry or agent');
 
 const SEED_SCHEMA = z.strictObject({
   name: NAME,
-  role: z.enum(['entry', 'agent']),
+  role: ROLE,
   failureDomain: NAME,
   /** Host and port of the node's peer server. */
-  address: z.string().regex(/^.+:\d+$/, 'host:port'),
+  address: z
+    .string()
+    .regex(/^.+:\d+$/)
+    .describe('host:port of the peers address of a node'),
 });
 
 const LOG_SCHEMA = z.strictObject({
-  level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+  level: z
+    .enum(['debug', 'info', 'warn', 'error'])
+    .describe('debug, info, warn or error')
+    .default('info'),
 });
 
 const LIMITS_SCHEMA = z.strictObject({
-  maxHeaderBytes: z
-    .number()
-    .int()
-    .positive()
-    .default(DEFAULT_HTTP_LIMITS.maxHeaderBytes),
-  maxBodyBytes: z
-    .number()
-    .int()
-    .positive()
-    .default(DEFAULT_HTTP_LIMITS.maxBodyBytes),
-  headersTimeoutMs: z
-    .number()
-    .int()
-    .positive()
-    .default(DEFAULT_HTTP_LIMITS.headersTimeoutMs),
-  requestTimeoutMs: z
-    .number()
-    .int()
-    .positive()
-    .default(DEFAULT_HTTP_LIMITS.requestTimeoutMs),
+  maxHeaderBytes: BYTES.default(DEFAULT_HTTP_LIMITS.maxHeaderBytes),
+  maxBodyBytes: BYTES.default(DEFAULT_HTTP_LIMITS.maxBodyBytes),
+  headersTimeoutMs: DURATION_MS.default(DEFAULT_HTTP_LIMITS.headersTimeoutMs),
+  requestTimeoutMs: DURATION_MS.default(DEFAULT_HTTP_LIMITS.requestTimeoutMs),
   /** Requests of callers that an entry holds open at once. */
-  maxOpenRequests: z.number().int().positive().default(DEFAULT_MAX_OPEN),
+  maxOpenRequests: COUNT.default(DEFAULT_MAX_OPEN),
   /** Time for a request whose caller states none, in ms. */
-  defaultBudgetMs: z.number().int().positive().default(DEFAULT_BUDGET_MS),
+  defaultBudgetMs: DURATION_MS.default(DEFAULT_BUDGET_MS),
 });
 
 const NODE_FIELDS = {
@@ -69,7 +81,7 @@
   /** Address for operators and the balancer's checks. */
   operators: LISTEN_SCHEMA,
   platform: PLATFORM_SCHEMA,
-  seeds: z.array(SEED_SCHEMA).default([]),
+  seeds: z.array(SEED_SCHEMA).describe('a list of nodes').default([]),
   log: LOG_SCHEMA.prefault({}),
 };
 
@@ -79,7 +91,10 @@
   role: z.literal('entry'),
   /** Address for serving callers and trainers. */
   callers: LISTEN_SCHEMA,
-  scoring: z.array(z.strictObject({name: NAME, url: HTTP_URL})).default([]),
+  scoring: z
+    .array(z.strictObject({name: NAME, url: HTTP_URL}))
+    .describe('a list of scoring services, each a mapping of name and url')
+    .default([]),
   limits: LIMITS_SCHEMA.prefault({}),
 });
 
@@ -89,13 +104,16 @@
 const ENDPOINT_SCHEMA = z.strictObject({
   name: NAME,
   service: NAME,
-  kind: z.enum(['engine', 'plain']),
+  kind: z.enum(['engine', 'plain']).describe('engine or plain'),
   url: HTTP_URL,
   /** Requests that the endpoint runs at once. */
-  slots: z.number().int().positive().default(DEFAULT_SLOTS),
-  maxQueued: z.number().int().positive().default(DEFAULT_MAX_QUEUED),
+  slots: COUNT.default(DEFAULT_SLOTS),
+  maxQueued: COUNT.default(DEFAULT_MAX_QUEUED),
   /** Whether the endpoint refuses orders with an old fencing number. */
-  fencing: z.enum(['checks', 'ignores']).default('checks'),
+  fencing: z
+    .enum(['checks', 'ignores'])
+    .describe('checks or ignores')
+    .default('checks'),
 });
 
 /** Settings of one endpoint. */
@@ -106,17 +124,42 @@
   ...NODE_FIELDS,
   role: z.literal('agent'),
   weightStoreUrl: HTTP_URL.optional(),
-  endpoints: z.array(ENDPOINT_SCHEMA).min(1),
+  endpoints: z
+    .array(ENDPOINT_SCHEMA)
+    .min(1)
+    .describe('a list of at least one endpoint'),
 });
 
 /** An agent's settings. */
 export type AgentSettings = z.infer<typeof AGENT_SETTINGS_SCHEMA>;
 
+/** Schema of the settings of the operators' commands. */
+export const OPERATORS_SETTINGS_SCHEMA = z.strictObject({
+  role: z.literal('operators'),
+  platform: PLATFORM_SCHEMA,
+  /** Operators' pages of nodes, by URL. */
+  nodes: z.array(HTTP_URL).describe('a list of URLs').default([]),
+  /** Port of the operators' pages of the nodes that the VM list names. */
+  operatorsPort: PORT.min(1).optional(),
+});
+
+/** Settings of the operators' commands. */
+export type OperatorsSettings = z.infer<typeof OPERATORS_SETTINGS_SCHEMA>;
+
 /** Settings of any node. */
 export type NodeSettings = EntrySettings | AgentSettings;
 
-/** Schema of a settings file of either role. */
-export const NODE_SETTINGS_SCHEMA = z.discriminatedUnion('role', [
-  ENTRY_SETTINGS_SCHEMA,
-  AGENT_SETTINGS_SCHEMA,
-]);
+/** Schema of each role's settings file. */
+export const SETTINGS_SCHEMAS = {
+  entry: ENTRY_SETTINGS_SCHEMA,
+  agent: AGENT_SETTINGS_SCHEMA,
+  operators: OPERATORS_SETTINGS_SCHEMA,
+} as const;
+
+/** Role that a settings file can be for. */
+export type SettingsRole = keyof typeof SETTINGS_SCHEMAS;
+
+/** Tells whether a value names a role. */
+export function isSettingsRole(value: unknown): value is SettingsRole {
+  return typeof value === 'string' && Object.hasOwn(SETTINGS_SCHEMAS, value);
+}
