--- a/packages/harness/src/child_process.ts
+++ b/packages/harness/src/child_process.ts
@@ -72,7 +72,8 @@
   }
 }
 
-function findDistFolder(): string {
+/** Returns the folder of the bundles. */
+export function findDistFolder(): string {
   for (let folder = __dirname; ; folder = path.dirname(folder)) {
     const dist = path.join(folder, 'dist');
     if (existsSync(path.join(dist, 'sassafrasspan.cjs'))) return dist;
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -1,5 +1,6 @@
 /** Entries and agents to each other, over gRPC. */
 export * from './agent_client';
+export * from './drain_client';
 export * from './entry_client';
 export * from './frames';
 export * from './node_server';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** What differs by platform, behind one narrow module. */
 export * from './clock';
+export * from './decision_log';
 export * from './http_server';
 export * from './log';
 export * from './metrics';
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -17,7 +17,7 @@
 import {ObjectClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
-  EventLog,
+  DecisionLog,
   HttpServer,
   Metrics,
   SYSTEM_CLOCK,
@@ -49,7 +49,7 @@
 /** A running agent. */
 export class AgentProcess {
   private readonly incarnation = randomUUID();
-  private readonly log: EventLog;
+  private readonly log: DecisionLog;
   private readonly metrics = Metrics.create();
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
@@ -66,7 +66,10 @@
 
   private constructor(private readonly settings: AgentSettings) {
     const {name, log} = settings;
-    this.log = createEventLog({node: name, role: 'agent', level: log.level});
+    this.log = DecisionLog.create({
+      log: createEventLog({node: name, role: 'agent', level: log.level}),
+      clock: SYSTEM_CLOCK,
+    });
     this.store = ObjectClient.create(settings.platform.objectsUrl);
     this.feed = RulesFeed.create({
       store: this.store,
@@ -92,8 +95,13 @@
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
         metrics: this.metrics,
+        node: name,
+        decisions: this.log,
         isReady: () => this.isReady(),
-        describeStatus: () => this.createHeartbeat(),
+        describeStatus: () => ({
+          role: 'agent',
+          ...this.createHeartbeat(),
+        }),
       }),
       DEFAULT_HTTP_LIMITS,
     );
--- /dev/null
+++ b/packages/server/src/commands/drain_command.ts
@@ -0,0 +1,110 @@
+/** The `drain` command: an endpoint takes no new work and finishes its own. */
+import type {EndpointLine, StatusReport} from '@sassafrasspan/operators';
+import {drainEndpoint} from '@sassafrasspan/nodes';
+import {waitMs} from '@sassafrasspan/runtime';
+import {command, flag, option, optional, positional, string} from 'cmd-ts';
+import {Result, err, ok} from 'neverthrow';
+import {
+  OperatorsSources,
+  SOURCE_OPTIONS,
+  findNodes,
+  readSources,
+} from './operators_sources';
+import {
+  EXIT_FAILED,
+  EXIT_USAGE,
+  printFailure,
+  printFaults,
+  printLine,
+} from './output';
+import {readStatus} from './status_command';
+
+const WAIT_POLL_MS = 500;
+
+/** What to drain, and the agent to ask. */
+interface DrainTarget {
+  readonly address: string;
+  /** Empty for every endpoint of the agent. */
+  readonly endpoint: string;
+}
+
+/** Finds the agent that an endpoint or node name means. */
+async function findTarget(
+  name: string,
+  sources: OperatorsSources,
+): Promise<Result<DrainTarget, string>> {
+  const [report, found] = await Promise.all([
+    readStatus(sources),
+    findNodes(sources),
+  ]);
+  const endpoint = report.endpoints.find(line => line.name === name);
+  const agent = endpoint?.agent ?? name;
+  const role = findRole(agent, report, endpoint);
+  const vm = found.vms.find(item => item.name === agent);
+  if ((vm?.role ?? role) === 'entry') {
+    const advice = 'stop it with SIGTERM: it finishes what it has';
+    return err(`${name} is an entry; ${advice}`);
+  }
+  if (vm === undefined) {
+    const advice = 'name its peers address by --address HOST:PORT';
+    return err(`the VM list names no agent of ${name}; ${advice}`);
+  }
+  return ok({address: vm.address, endpoint: endpoint?.name ?? ''});
+}
+
+function findRole(
+  agent: string,
+  report: StatusReport,
+  endpoint: EndpointLine | undefined,
+): string | undefined {
+  if (endpoint !== undefined) return 'agent';
+  return report.nodes.find(line => line.node === agent)?.role;
+}
+
+async function runDrain(target: DrainTarget, isWaiting: boolean) {
+  for (;;) {
+    const reply = await drainEndpoint(target.address, target.endpoint);
+    if (reply.isErr()) {
+      const {kind, detail} = reply.error;
+      return printFailure(`${kind}: ${detail}`, EXIT_FAILED);
+    }
+    const {running, queued} = reply.value;
+    printLine(`leaving: ${running} running, ${queued} queued`);
+    if (!isWaiting || running + queued === 0) return undefined;
+    await waitMs(WAIT_POLL_MS);
+  }
+}
+
+/** The `drain` command. */
+export const DRAIN_COMMAND = command({
+  name: 'drain',
+  description:
+    'Give an endpoint, or every endpoint of an agent, no new work; what ' +
+    'runs there finishes. The agent keeps this until it is restarted.',
+  args: {
+    target: positional({
+      type: string,
+      displayName: 'NODE|ENDPOINT',
+      description: 'name of an agent or of an endpoint',
+    }),
+    wait: flag({long: 'wait', description: 'wait until nothing runs there'}),
+    address: option({
+      type: optional(string),
+      long: 'address',
+      description:
+        'peers address of the agent (HOST:PORT) when the VM list is down; ' +
+        'the target is then an endpoint name',
+    }),
+    ...SOURCE_OPTIONS,
+  },
+  handler: async args => {
+    const sources = readSources(args);
+    if (sources.isErr()) return printFaults(sources.error);
+    const target =
+      args.address === undefined
+        ? await findTarget(args.target, sources.value)
+        : ok({address: args.address, endpoint: args.target});
+    if (target.isErr()) return printFailure(target.error, EXIT_USAGE);
+    return runDrain(target.value, args.wait);
+  },
+});
--- /dev/null
+++ b/packages/server/src/commands/explain_command.ts
@@ -0,0 +1,42 @@
+/** The `explain` command: what was decided for a request, and why. */
+import {
+  DECISIONS_PAGE_SCHEMA,
+  fetchPages,
+  formatExplanation,
+  listUnread,
+} from '@sassafrasspan/operators';
+import {command, positional, string} from 'cmd-ts';
+import {SOURCE_OPTIONS, findNodes, readSources} from './operators_sources';
+import {EXIT_FAILED, printFailure, printFaults, printLine} from './output';
+
+/** The `explain` command. */
+export const EXPLAIN_COMMAND = command({
+  name: 'explain',
+  description:
+    'Say what was decided for a request and why. REQUEST_ID is the ' +
+    "caller's own x-request-id, or the id in the answer, or a beginning of " +
+    'either. Nodes remember the newest few thousand events. Exits with 1 ' +
+    'when no node remembers the request.',
+  args: {
+    request: positional({
+      type: string,
+      displayName: 'REQUEST_ID',
+      description: 'request id or its beginning',
+    }),
+    ...SOURCE_OPTIONS,
+  },
+  handler: async args => {
+    const sources = readSources(args);
+    if (sources.isErr()) return printFaults(sources.error);
+    const {urls} = await findNodes(sources.value);
+    const path = `/explain/${encodeURIComponent(args.request)}`;
+    const pages = await fetchPages(urls, path, DECISIONS_PAGE_SCHEMA);
+    const nodes = pages.flatMap(({page}) => (page.isOk() ? [page.value] : []));
+    const text = formatExplanation(nodes);
+    if (text !== '') printLine(text);
+    for (const line of listUnread(pages)) printFailure(line, 0);
+    if (text !== '') return;
+    const detail = `no node remembers a request ${args.request}`;
+    printFailure(detail, EXIT_FAILED);
+  },
+});
--- /dev/null
+++ b/packages/server/src/commands/operators_sources.ts
@@ -0,0 +1,111 @@
+/**
+ * Where the operators' commands read from: the object API, the VM list and
+ * the operators' pages of nodes, named by a settings file or by options.
+ */
+import type {PlatformLine} from '@sassafrasspan/operators';
+import {VmListClient} from '@sassafrasspan/platform';
+import type {ListedVm} from '@sassafrasspan/platform';
+import {SettingsFault, loadSettings} from '@sassafrasspan/runtime';
+import {multioption, option, optional, array, string} from 'cmd-ts';
+import {Result, ok} from 'neverthrow';
+import {
+  OPERATORS_SETTINGS_SCHEMA,
+  OperatorsSettings,
+} from '../shared/settings_schemas';
+
+const SETTINGS_VARIABLE = 'SASSAFRASSPAN_OPERATORS';
+
+/** Options of every command that reads the system back. */
+export const SOURCE_OPTIONS = {
+  settings: option({
+    type: optional(string),
+    long: 'settings',
+    description:
+      'settings of role operators (YAML); otherwise the file that ' +
+      `${SETTINGS_VARIABLE} names`,
+  }),
+  objects: option({
+    type: optional(string),
+    long: 'objects',
+    description: 'URL of the object API of the platform',
+  }),
+  vms: option({
+    type: optional(string),
+    long: 'vms',
+    description: 'URL of the VM list of the platform',
+  }),
+  nodes: multioption({
+    type: array(string),
+    long: 'node',
+    description: "URL of a node's operators' pages; may be repeated",
+  }),
+};
+
+/** Values of the options, as they were given. */
+export interface SourceArguments {
+  readonly settings: string | undefined;
+  readonly objects: string | undefined;
+  readonly vms: string | undefined;
+  readonly nodes: readonly string[];
+}
+
+/** Where to read from. */
+export interface OperatorsSources {
+  readonly objectsUrl: string | undefined;
+  readonly vmsUrl: string | undefined;
+  readonly nodeUrls: readonly string[];
+  readonly operatorsPort: number | undefined;
+}
+
+/** Puts the settings file and the options together; options go first. */
+export function readSources(
+  given: SourceArguments,
+): Result<OperatorsSources, SettingsFault[]> {
+  const file = given.settings ?? process.env[SETTINGS_VARIABLE];
+  const loaded: Result<OperatorsSettings | undefined, SettingsFault[]> =
+    file === undefined
+      ? ok(undefined)
+      : loadSettings(file, OPERATORS_SETTINGS_SCHEMA);
+  return loaded.map(settings => ({
+    objectsUrl: given.objects ?? settings?.platform.objectsUrl,
+    vmsUrl: given.vms ?? settings?.platform.vmsUrl,
+    nodeUrls: given.nodes.length > 0 ? given.nodes : (settings?.nodes ?? []),
+    operatorsPort: settings?.operatorsPort,
+  }));
+}
+
+/** The nodes that a command can ask. */
+export interface FoundNodes {
+  /** URLs of operators' pages. */
+  readonly urls: readonly string[];
+  readonly vms: readonly ListedVm[];
+  readonly outages: readonly PlatformLine[];
+}
+
+/** Finds the nodes by the VM list and by name. */
+export async function findNodes(
+  sources: OperatorsSources,
+): Promise<FoundNodes> {
+  const {vmsUrl, nodeUrls, operatorsPort} = sources;
+  if (vmsUrl === undefined) return {urls: nodeUrls, vms: [], outages: []};
+  const listed = await VmListClient.create(vmsUrl).listVms();
+  if (listed.isErr()) {
+    const {detail} = listed.error;
+    const outage = {part: 'VM list', seenBy: 'this command', detail};
+    return {urls: nodeUrls, vms: [], outages: [outage]};
+  }
+  const vms = listed.value;
+  const listedUrls =
+    operatorsPort === undefined
+      ? []
+      : vms.map(vm => `http://${readHost(vm.address)}:${operatorsPort}`);
+  return {
+    urls: [...new Set([...nodeUrls, ...listedUrls])],
+    vms,
+    outages: [],
+  };
+}
+
+function readHost(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
--- a/packages/server/src/commands/rules_commands.ts
+++ b/packages/server/src/commands/rules_commands.ts
@@ -1,12 +1,7 @@
 /** The `rules` commands: check, apply, show and history. */
 import {userInfo} from 'node:os';
 import type {AttributedRule, RuleFault} from '@sassafrasspan/core';
-import {
-  applyRules,
-  parseRules,
-  readRulesHead,
-  readRulesRevision,
-} from '@sassafrasspan/operators';
+import {applyRules, parseRules} from '@sassafrasspan/operators';
 import {ObjectClient} from '@sassafrasspan/platform';
 import {SYSTEM_CLOCK, readTextFile} from '@sassafrasspan/runtime';
 import {
@@ -25,12 +20,9 @@
   printFaults,
   printLine,
 } from './output';
+import {SOURCE_OPTIONS, readSources} from './operators_sources';
+import {RULES_HISTORY, RULES_SHOW} from './rules_reading_commands';
 
-const OBJECTS_OPTION = option({
-  type: string,
-  long: 'objects',
-  description: 'URL of the object API of the platform',
-});
 const FILE_ARGUMENT = positional({
   type: string,
   displayName: 'FILE',
@@ -72,10 +64,12 @@
 
 const apply = command({
   name: 'apply',
-  description: 'Check a rules file and bring it into force.',
+  description:
+    'Check a rules file and bring it into force. A file with a fault ' +
+    'changes nothing (exit 2); a racing edit gives a conflict (exit 1).',
   args: {
     file: FILE_ARGUMENT,
-    objects: OBJECTS_OPTION,
+    ...SOURCE_OPTIONS,
     basedOn: option({
       type: optional(number),
       long: 'based-on',
@@ -88,10 +82,17 @@
       description: 'who applies the file',
     }),
   },
-  handler: async ({file, objects, basedOn, author}) => {
+  handler: async ({file, basedOn, author, ...given}) => {
     const checked = readRulesFile(file);
     if (checked === undefined) return;
-    const store = ObjectClient.create(objects);
+    const sources = readSources(given);
+    if (sources.isErr()) return printFaults(sources.error);
+    const {objectsUrl} = sources.value;
+    if (objectsUrl === undefined) {
+      const hint = 'expected --settings FILE or --objects URL';
+      return printFailure(hint, EXIT_USAGE);
+    }
+    const store = ObjectClient.create(objectsUrl);
     const writtenAtMs = SYSTEM_CLOCK.readWallMs();
     const edit = {...checked, author, writtenAtMs, basedOn};
     const applied = await applyRules(store, edit);
@@ -104,29 +105,9 @@
   },
 });
 
-const show = command({
-  name: 'show',
-  description: 'Show the newest accepted revision.',
-  args: {objects: OBJECTS_OPTION},
-  handler: async ({objects}) => {
-    const store = ObjectClient.create(objects);
-    const stored = await readRulesHead(store);
-    if (stored.isErr()) {
-      printFailure(stored.error.detail, EXIT_FAILED);
-    } else if (stored.value.head === undefined) {
-      printFailure('no rules have been applied', EXIT_FAILED);
-    } else {
-      const revision = await readRulesRevision(store, stored.value.head);
-      if (revision.isOk()) printLine(revision.value.text);
-      else printFailure(revision.error.detail, EXIT_FAILED);
-    }
-    await store.close();
-  },
-});
-
 /** The `rules` command. */
 export const RULES_COMMAND = subcommands({
   name: 'rules',
   description: 'Check, apply and read back the promises.',
-  cmds: {check, apply, show},
+  cmds: {check, apply, show: RULES_SHOW, history: RULES_HISTORY},
 });
--- /dev/null
+++ b/packages/server/src/commands/rules_reading_commands.ts
@@ -0,0 +1,134 @@
+/** `rules show` and `rules history`. */
+import {RULES_REVISION_SCHEMA, RulesRevision} from '@sassafrasspan/core';
+import {
+  STATUS_PAGE_SCHEMA,
+  StoredHead,
+  fetchPages,
+  formatDomains,
+  formatHistory,
+  formatRevision,
+  listUnread,
+  readRulesHead,
+  readRulesRevision,
+  summarizeDomains,
+} from '@sassafrasspan/operators';
+import {ObjectClient} from '@sassafrasspan/platform';
+import type {ServiceError} from '@sassafrasspan/core';
+import {command, flag} from 'cmd-ts';
+import {Result, ok} from 'neverthrow';
+import {
+  OperatorsSources,
+  SOURCE_OPTIONS,
+  findNodes,
+  readSources,
+} from './operators_sources';
+import {
+  EXIT_FAILED,
+  EXIT_USAGE,
+  printFailure,
+  printFaults,
+  printLine,
+} from './output';
+
+const REVISIONS_PREFIX = 'rules/revisions/';
+const NO_OBJECTS = 'expected --settings FILE or --objects URL';
+
+/** Runs a task with the object API that the sources name. */
+async function runWithStore(
+  sources: OperatorsSources,
+  task: (store: ObjectClient) => Promise<void>,
+): Promise<void> {
+  if (sources.objectsUrl === undefined) {
+    return printFailure(NO_OBJECTS, EXIT_USAGE);
+  }
+  const store = ObjectClient.create(sources.objectsUrl);
+  await task(store);
+  await store.close();
+}
+
+async function readNewest(
+  store: ObjectClient,
+  stored: Result<StoredHead, ServiceError>,
+): Promise<Result<RulesRevision | undefined, ServiceError>> {
+  const head = stored.map(item => item.head);
+  if (head.isErr() || head.value === undefined) {
+    return head.map(() => undefined);
+  }
+  return readRulesRevision(store, head.value);
+}
+
+async function showRules(
+  sources: OperatorsSources,
+  store: ObjectClient,
+  isBrief: boolean,
+): Promise<void> {
+  const {urls} = await findNodes(sources);
+  const [pages, stored] = await Promise.all([
+    fetchPages(urls, '/status', STATUS_PAGE_SCHEMA),
+    readRulesHead(store),
+  ]);
+  const newest = await readNewest(store, stored);
+  const revision = newest.unwrapOr(undefined);
+  printLine(`# newest accepted: ${describeNewest(newest)}`);
+  const domains = summarizeDomains(pages);
+  for (const line of formatDomains(domains, revision?.revision)) {
+    printLine(`# in force in ${line}`);
+  }
+  for (const line of listUnread(pages)) printLine(`# ${line}`);
+  if (revision !== undefined && !isBrief) printLine(revision.text.trimEnd());
+  if (revision === undefined) process.exitCode = EXIT_FAILED;
+}
+
+function describeNewest(
+  newest: Result<RulesRevision | undefined, ServiceError>,
+): string {
+  if (newest.isErr()) return `not known: ${newest.error.detail}`;
+  if (newest.value === undefined) return 'none, no rules have been applied';
+  return formatRevision(newest.value);
+}
+
+/** The `rules show` command. */
+export const RULES_SHOW = command({
+  name: 'show',
+  description:
+    'Show the newest accepted revision, and as comments above it which ' +
+    'revision is in force in each failure domain. What is printed is a ' +
+    'rules file again. Exits with 1 when the newest cannot be read.',
+  args: {
+    ...SOURCE_OPTIONS,
+    brief: flag({long: 'brief', description: 'leave out the rules'}),
+  },
+  handler: async args => {
+    const sources = readSources(args);
+    if (sources.isErr()) return printFaults(sources.error);
+    return runWithStore(sources.value, store =>
+      showRules(sources.value, store, args.brief),
+    );
+  },
+});
+
+async function listHistory(store: ObjectClient): Promise<void> {
+  const head = await readRulesHead(store);
+  const objects = await store.listObjects(REVISIONS_PREFIX);
+  const both = head.andThen(found =>
+    objects.andThen(list => ok({head: found.head, list})),
+  );
+  if (both.isErr()) return printFailure(both.error.detail, EXIT_FAILED);
+  const revisions = both.value.list.flatMap(object => {
+    const parsed = RULES_REVISION_SCHEMA.safeParse(object.value);
+    return parsed.success ? [parsed.data] : [];
+  });
+  for (const line of formatHistory(revisions, both.value.head)) printLine(line);
+}
+
+/** The `rules history` command. */
+export const RULES_HISTORY = command({
+  name: 'history',
+  description: 'List the stored revisions, newest first: when, who, accepted.',
+  args: SOURCE_OPTIONS,
+  handler: async args => {
+    const sources = readSources(args);
+    if (sources.isErr()) return printFaults(sources.error);
+    return runWithStore(sources.value, listHistory);
+  },
+});
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -11,7 +11,7 @@
 import {ObjectClient, VmListClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
-  EventLog,
+  DecisionLog,
   HttpServer,
   ListenAddress,
   Metrics,
@@ -45,7 +45,7 @@
 /** A running entry. */
 export class EntryProcess {
   private readonly incarnation = randomUUID();
-  private readonly log: EventLog;
+  private readonly log: DecisionLog;
   private readonly metrics = Metrics.create();
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
@@ -66,7 +66,10 @@
 
   private constructor(private readonly settings: EntrySettings) {
     const {name, log} = settings;
-    this.log = createEventLog({node: name, role: 'entry', level: log.level});
+    this.log = DecisionLog.create({
+      log: createEventLog({node: name, role: 'entry', level: log.level}),
+      clock: SYSTEM_CLOCK,
+    });
     this.store = ObjectClient.create(settings.platform.objectsUrl);
     this.feed = RulesFeed.create({
       store: this.store,
@@ -108,6 +111,8 @@
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
         metrics: this.metrics,
+        node: name,
+        decisions: this.log,
         isReady: () => this.isReady(),
         describeStatus: () => this.describeStatus(),
       }),
@@ -253,7 +258,7 @@
       node: this.settings.name,
       role: 'entry',
       failureDomain: this.settings.failureDomain,
-      ready: this.isReady(),
+      leaving: this.isLeaving,
       rulesRevision: this.rules.getRevisionNumber(),
       openRequests: this.dispatcher.countOpen(),
       agents: this.fleet.listAgents(nowMs),
--- a/packages/server/src/main.ts
+++ b/packages/server/src/main.ts
@@ -8,9 +8,12 @@
   subcommands,
 } from 'cmd-ts';
 import {CONFIG_COMMAND} from './commands/config_commands';
+import {DRAIN_COMMAND} from './commands/drain_command';
+import {EXPLAIN_COMMAND} from './commands/explain_command';
 import {EXIT_USAGE} from './commands/output';
 import {RULES_COMMAND} from './commands/rules_commands';
 import {runAgent, runEntry} from './commands/run_node';
+import {STATUS_COMMAND} from './commands/status_command';
 
 const SETTINGS_ARGUMENT = positional({
   type: string,
@@ -40,7 +43,15 @@
       'A rollout service for reinforcement learning. Exit codes: 0 done; ' +
       '1 the system refused, does not answer, or breaks a promise; ' +
       '2 faults in files or arguments.',
-    cmds: {entry, agent, config: CONFIG_COMMAND, rules: RULES_COMMAND},
+    cmds: {
+      entry,
+      agent,
+      config: CONFIG_COMMAND,
+      rules: RULES_COMMAND,
+      status: STATUS_COMMAND,
+      explain: EXPLAIN_COMMAND,
+      drain: DRAIN_COMMAND,
+    },
   }),
 );
 
--- a/packages/server/src/shared/operators_routes.ts
+++ b/packages/server/src/shared/operators_routes.ts
@@ -1,6 +1,7 @@
 /** Pages for operators and for the balancer's checks. */
 import {createError} from '@sassafrasspan/core';
 import {
+  DecisionLog,
   Metrics,
   Route,
   sendError,
@@ -12,11 +13,14 @@
 
 /** What the pages show. */
 export interface OperatorsBackend {
+  /** Name of the node. */
+  readonly node: string;
   readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
   /** Tells whether the process takes work. */
   isReady(): boolean;
   /** Describes the state of the process as JSON data. */
-  describeStatus(): unknown;
+  describeStatus(): object;
 }
 
 /** Builds the routes that every node has. */
@@ -44,8 +48,25 @@
     {
       method: 'GET',
       path: '/status',
-      handler: ({response}) =>
-        sendJson(response, 200, backend.describeStatus()),
+      handler: ({response}) => {
+        const platform = backend.decisions.listOutages();
+        const ready = backend.isReady();
+        const status = {
+          ...backend.describeStatus(),
+          node: backend.node,
+          ready,
+          platform,
+        };
+        sendJson(response, 200, status);
+      },
+    },
+    {
+      method: 'GET',
+      path: '/explain/:request',
+      handler: ({response, params}) => {
+        const decisions = backend.decisions.listDecisions(params.request);
+        sendJson(response, 200, {node: backend.node, decisions});
+      },
     },
   ];
 }
