--- a/packages/server/src/commands/run_node.ts
+++ b/packages/server/src/commands/run_node.ts
@@ -14,7 +14,7 @@
 } from '../shared/settings_schemas';
 import {EXIT_USAGE, printFaults} from './output';
 
-const LISTEN_KEYS = ['peers', 'operators', 'callers'] as const;
+const LISTEN_KEYS = ['peers', 'operators', 'callers', 'weights'] as const;
 
 /** A process that can be started and stopped. */
 interface NodeProcess {
@@ -71,7 +71,7 @@
   settings: NodeSettings,
   message: string,
 ): SettingsFault {
-  const listened = {callers: undefined, ...settings};
+  const listened = {callers: undefined, weights: undefined, ...settings};
   const key = LISTEN_KEYS.find(name => {
     const address = listened[name];
     return message.includes(`${address?.host}:${address?.port}`);
