--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -63,6 +63,13 @@
   readonly budgetMs: number;
   /** 0 is served first. */
   readonly priority: number;
+  /** Oldest weight version that may run the work; without it any. */
+  readonly minVersion?: number;
+  /**
+   * Takes the name of the agent that keeps the whole answer until it is
+   * acknowledged; without it the answer is acknowledged at its end.
+   */
+  readonly keepAnswer?: (agent: string) => void;
 }
 
 /** Attempts that may end because agent and entry held other rules. */
@@ -165,6 +172,7 @@
       if (chosen.isErr()) return withOutcome(chosen.error, outcome);
       const ended = await this.runAttempt(state, chosen.value, number);
       if (ended.type === 'whole') {
+        state.request.keepAnswer?.(chosen.value.agent);
         this.retryBudget.recordSuccess();
         state.sink.finish(ended.end);
         return undefined;
@@ -205,7 +213,9 @@
       excluded: state.excluded,
       avoidDomain: state.avoidDomain,
     };
-    const serving = this.options.fleet.listServing(request.service, nowMs);
+    const serving = this.options.fleet
+      .listServing(request.service, nowMs)
+      .filter(item => item.weightVersion >= (request.minVersion ?? 0));
     const {random} = this.options;
     const chosen = chooseEndpoint(route, serving, random);
     if (chosen.isOk() || state.avoidDomain === undefined) return chosen;
@@ -242,6 +252,7 @@
     const attempt = RunAttempt.create({
       agent,
       request: this.createRunRequest(state, target, number),
+      keepsAnswer: state.request.keepAnswer !== undefined,
       sink: {
         setHead: head => {
           state.hasBytes = true;
@@ -286,7 +297,7 @@
       idempotencyKey: request.idempotencyKey,
       fingerprint: request.fingerprint,
       expectedTokens: request.expectedTokens,
-      minVersion: 0,
+      minVersion: request.minVersion ?? 0,
       entry: this.options.entry,
       prefixKey: request.prefixKey,
       work: encodeWork(request.work),
