--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from './errors/error_kinds';
 export * from './events/event_table';
 export * from './membership/fleet_view';
+export * from './membership/rules_survey';
 export * from './rollout/answer_collector';
 export * from './rollout/cursor';
 export * from './rollout/sample_checks';
@@ -20,6 +21,7 @@
 export * from './runs/answer_assembler';
 export * from './runs/answer_buffer';
 export * from './runs/endpoint_driver';
+export * from './runs/expiring_map';
 export * from './runs/quarantine';
 export * from './runs/retry_budget';
 export * from './runs/retry_decision';
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -1,10 +1,12 @@
 /** Entries and agents to each other, over gRPC. */
 export * from './agent_client';
+export * from './drain_client';
 export * from './entry_client';
 export * from './frames';
 export * from './node_server';
 export {
   RunState as WireRunState,
+  type AcknowledgeRequest,
   type AgentHeartbeat,
   type EndpointState,
   type EntryHeartbeat,
@@ -12,6 +14,8 @@
   type FetchRulesRequest,
   type FetchWeightsRequest,
   type KeptAnswer,
+  type OfferRulesReply,
+  type OfferRulesRequest,
   type ResumeRequest,
   type RevokeReply,
   type RevokeRequest,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,7 +1,9 @@
 /** What differs by platform, behind one narrow module. */
 export * from './clock';
+export * from './decision_log';
 export * from './http_server';
 export * from './log';
 export * from './metrics';
 export * from './settings';
+export * from './settings_expectations';
 export * from './undici_errors';
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -24,7 +24,7 @@
   hashText,
 } from '@sassafrasspan/core';
 import {RunRequest, encodeWork} from '@sassafrasspan/nodes';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
+import {EventLog, Metrics, SYSTEM_SCHEDULER} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import type {NodeDirectory} from './node_directory';
 import {AttemptEnd, RunAttempt} from './run_attempt';
@@ -72,6 +72,9 @@
   readonly keepAnswer?: (agent: string) => void;
 }
 
+/** Attempts that may end because agent and entry held other rules. */
+const MAX_RULES_RETRIES = 3;
+
 /** What a dispatcher is built from. */
 export interface DispatcherOptions {
   readonly entry: string;
@@ -175,6 +178,10 @@
         return undefined;
       }
       if (ended.outcome !== 'not-run') outcome = ended.outcome;
+      if (ended.error.kind === 'stale-rules' && number <= MAX_RULES_RETRIES) {
+        await this.options.directory.reconcileRules(chosen.value.agent);
+        continue;
+      }
       const error = withOutcome(ended.error, outcome);
       if (!this.prepareRetry(state, chosen.value, ended, number)) return error;
       const {requestId} = state.request;
@@ -247,12 +254,16 @@
       request: this.createRunRequest(state, target, number),
       keepsAnswer: state.request.keepAnswer !== undefined,
       sink: {
-        setHead: head => state.sink.setHead(head),
+        setHead: head => {
+          state.hasBytes = true;
+          state.sink.setHead(head);
+        },
         appendChunk: chunk => {
           state.hasBytes = true;
           state.sink.appendChunk(chunk);
         },
       },
+      scheduler: SYSTEM_SCHEDULER,
       onResume: reason =>
         this.options.log.writeEvent('answer-resumed', {requestId, reason}),
     });
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -1,17 +1,12 @@
 /** The entry: composition of its parts, start and graceful stop. */
 import {randomUUID} from 'node:crypto';
 import {createCallerRoutes} from '@sassafrasspan/callers';
-import {
-  FleetView,
-  HEARTBEAT_INTERVAL_MS,
-  Quarantine,
-  RulesHolder,
-} from '@sassafrasspan/core';
-import {EntryHeartbeat, MessageWriter, NodeServer} from '@sassafrasspan/nodes';
+import {FleetView, Quarantine, RulesHolder} from '@sassafrasspan/core';
+import {EntryHeartbeat, NodeServer} from '@sassafrasspan/nodes';
 import {ObjectClient, VmListClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
-  EventLog,
+  DecisionLog,
   HttpServer,
   ListenAddress,
   Metrics,
@@ -21,6 +16,7 @@
 } from '@sassafrasspan/runtime';
 import {ScoringClient, ScoringService} from '@sassafrasspan/scoring';
 import {TrainerBackend, createTrainerRoutes} from '@sassafrasspan/trainers';
+import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
 import {createOperatorsRoutes} from '../shared/operators_routes';
 import {RulesFeed, createRulesReply} from '../shared/rules_feed';
@@ -46,7 +42,7 @@
 /** A running entry. */
 export class EntryProcess {
   private readonly incarnation = randomUUID();
-  private readonly log: EventLog;
+  private readonly log: DecisionLog;
   private readonly metrics = Metrics.create();
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
@@ -62,19 +58,27 @@
   private readonly callersServer: HttpServer;
   private readonly operatorsServer: HttpServer;
   private readonly scoring: ReadonlyMap<string, ScoringService>;
+  private readonly heartbeats = HeartbeatStreams.create(() =>
+    this.createHeartbeat(),
+  );
   private readonly timers: NodeJS.Timeout[] = [];
   private isLeaving = false;
 
   private constructor(private readonly settings: EntrySettings) {
     const {name, log} = settings;
-    this.log = createEventLog({node: name, role: 'entry', level: log.level});
+    this.log = DecisionLog.create({
+      log: createEventLog({node: name, role: 'entry', level: log.level}),
+      clock: SYSTEM_CLOCK,
+    });
     this.store = ObjectClient.create(settings.platform.objectsUrl);
     this.feed = RulesFeed.create({
       store: this.store,
       holder: this.rules,
+      clock: SYSTEM_CLOCK,
       random: Math.random,
       log: this.log,
     });
+    this.rules.addListener(() => this.heartbeats.sendNow());
     this.scoring = new Map(
       settings.scoring.map(item => [item.name, ScoringClient.create(item.url)]),
     );
@@ -95,7 +99,7 @@
       ...settings.limits,
     });
     this.peerServer = NodeServer.createEntry({
-      watch: (_request, writer) => this.streamHeartbeats(writer),
+      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       forwardStep: call => this.steps.answerForwarded(call),
     });
@@ -109,6 +113,8 @@
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
         metrics: this.metrics,
+        node: name,
+        decisions: this.log,
         isReady: () => this.isReady(),
         describeStatus: () => this.describeStatus(),
       }),
@@ -164,7 +170,7 @@
   }
 
   private isReady(): boolean {
-    return this.rules.getBook() !== undefined && !this.isLeaving;
+    return this.feed.isSettled() && !this.isLeaving;
   }
 
   private createDirectory(): NodeDirectory {
@@ -178,6 +184,7 @@
       feed: this.feed,
       quarantine: this.quarantine,
       clock: SYSTEM_CLOCK,
+      random: Math.random,
       log: this.log,
     });
   }
@@ -227,13 +234,6 @@
     };
   }
 
-  private streamHeartbeats(writer: MessageWriter<EntryHeartbeat>): void {
-    const sendHeartbeat = () => writer.send(this.createHeartbeat());
-    const timer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
-    writer.addCloseListener(() => clearInterval(timer));
-    sendHeartbeat();
-  }
-
   private createHeartbeat(): EntryHeartbeat {
     return {
       entry: this.settings.name,
@@ -256,7 +256,7 @@
       node: this.settings.name,
       role: 'entry',
       failureDomain: this.settings.failureDomain,
-      ready: this.isReady(),
+      leaving: this.isLeaving,
       rulesRevision: this.rules.getRevisionNumber(),
       openRequests: this.dispatcher.countOpen(),
       agents: this.fleet.listAgents(nowMs),
