Let entries remember steps that the platform could not save

A process test kills a step's home between answer and acknowledgement with the platform down: every slot is received once and no whole answer is generated again, since the new home takes them over from the agents. Its control, a trainer that leaves its cursor to the entries, receives slots twice.

--- a/packages/core/src/rollout/step_runs.ts
+++ b/packages/core/src/rollout/step_runs.ts
@@ -18,9 +18,10 @@
   return `${name}/${computeDigest(JSON.stringify(identity.description))}`;
 }
 
-/** Returns what the request ids of a step's runs begin with. */
+/** Returns what the request ids of the runs of a step's name begin with. */
 export function formatRunPrefix(identityKey: string): string {
-  return `step/${identityKey}/`;
+  const [trainer, step] = splitIdentity(identityKey);
+  return `step/${trainer}/${step}/`;
 }
 
 /**
@@ -33,7 +34,8 @@
   home: string,
   copyId: number,
 ): string {
-  return `${formatRunPrefix(identityKey)}${slot}/${home}/${copyId}`;
+  const [, , digest] = splitIdentity(identityKey);
+  return `${formatRunPrefix(identityKey)}${slot}/${digest}/${home}/${copyId}`;
 }
 
 /** Reads the slot of a run; undefined when it belongs to another step. */
@@ -43,6 +45,13 @@
 ): number | undefined {
   const prefix = formatRunPrefix(identityKey);
   if (!requestId.startsWith(prefix)) return undefined;
-  const [slot] = requestId.slice(prefix.length).split('/');
-  return /^\d+$/.test(slot) ? Number(slot) : undefined;
+  const [slot, digest] = requestId.slice(prefix.length).split('/');
+  const isSame = digest === splitIdentity(identityKey)[2];
+  return isSame && /^\d+$/.test(slot) ? Number(slot) : undefined;
+}
+
+/** Returns trainer, step and digest; the step's name may hold slashes. */
+function splitIdentity(identityKey: string): [string, string, string] {
+  const parts = identityKey.split('/');
+  return [parts[0], parts.slice(1, -1).join('/'), parts[parts.length - 1]];
 }
--- a/packages/harness/src/clients.ts
+++ b/packages/harness/src/clients.ts
@@ -4,6 +4,7 @@
 
 const PULL_WAIT_MS = 2_000;
 const RETRY_MS = 100;
+const DEFAULT_MAX_SAMPLES = 256;
 
 /** An answer as a caller sees it. */
 export interface CallerAnswer {
@@ -60,15 +61,64 @@
 export interface StepResult {
   readonly samples: Sample[];
   readonly duplicated: number;
-  /** Samples over the bound at the version that their pull stated. */
+  /** Samples over the bound when the trainer took them. */
   readonly stale: number;
   readonly cursor: string;
 }
 
+/** How a trainer takes replies; a test may pass in a careless way. */
+export interface ReceiverOptions {
+  readonly stalenessBound: number;
+  /** Whether the trainer keeps the cursor; else it sends none. */
+  readonly keepsCursor?: boolean;
+  /** Whether a reply checked against an older version is left aside. */
+  readonly checksVersion?: boolean;
+}
+
+/** What a trainer has received of a step, counted as it goes. */
+export class StepReceiver {
+  readonly samples: Sample[] = [];
+  cursor = '';
+  duplicated = 0;
+  stale = 0;
+  isComplete = false;
+  private readonly slots = new Set<number>();
+
+  private constructor(private readonly options: ReceiverOptions) {}
+
+  /** Builds a receiver that has nothing. */
+  static create(options: ReceiverOptions): StepReceiver {
+    return new StepReceiver(options);
+  }
+
+  /** Takes a reply at the trainer's version of now. */
+  takeReply(reply: PullReply, version: number): void {
+    const {keepsCursor = true, checksVersion = true} = this.options;
+    if (checksVersion && reply.version < version) return;
+    if (keepsCursor) this.cursor = reply.cursor;
+    this.isComplete = reply.complete;
+    for (const sample of reply.samples) this.countSample(sample, version);
+  }
+
+  private countSample(sample: Sample, version: number): void {
+    if (this.slots.has(sample.slot)) this.duplicated += 1;
+    this.slots.add(sample.slot);
+    const oldest = Math.min(...sample.segments.map(part => part.version));
+    if (version - oldest > this.options.stalenessBound) this.stale += 1;
+    this.samples.push(sample);
+  }
+
+  /** Returns the number of different slots received. */
+  countSlots(): number {
+    return this.slots.size;
+  }
+}
+
 /** A trainer that keeps its own cursor and checks what it receives. */
 export class TestTrainer {
   /** Weight version that the trainer is at. */
   version = 0;
+  private readonly descriptions = new Map<string, StepDescription>();
 
   private constructor(
     private readonly customer: string,
@@ -86,6 +136,7 @@
     step: string,
     description: StepDescription,
   ): Promise<CallerAnswer> {
+    this.descriptions.set(step, description);
     const path = `/v1/trainers/${this.trainer}/steps/${step}`;
     const body = JSON.stringify(description);
     return callEntry(entryUrl, this.customer, path, {method: 'PUT', body});
@@ -109,48 +160,42 @@
     entryUrl: string,
     step: string,
     cursor: string,
+    maxSamples = DEFAULT_MAX_SAMPLES,
   ): Promise<PullReply | undefined> {
     const query = new URLSearchParams({
       cursor,
       version: String(this.version),
+      max: String(maxSamples),
       waitMs: String(PULL_WAIT_MS),
     });
     const path = `/v1/trainers/${this.trainer}/steps/${step}/samples?${query}`;
     const answer = await callEntry(entryUrl, this.customer, path).catch(
       () => undefined,
     );
+    if (answer?.kind === 'not-found') await this.repeatPut(entryUrl, step);
     if (answer?.status !== 200) return undefined;
     return JSON.parse(answer.text) as PullReply;
   }
 
+  private async repeatPut(entryUrl: string, step: string): Promise<void> {
+    const description = this.descriptions.get(step);
+    if (description === undefined) return;
+    await this.putStep(entryUrl, step, description).catch(() => undefined);
+  }
+
   /** Pulls through the entries in turn until the step is whole. */
   async pullStep(
     entryUrls: readonly string[],
     step: string,
     stalenessBound: number,
   ): Promise<StepResult> {
-    const samples: Sample[] = [];
-    const slots = new Set<number>();
-    let cursor = '';
-    let duplicated = 0;
-    let stale = 0;
-    for (let turn = 0; ; turn++) {
+    const receiver = StepReceiver.create({stalenessBound});
+    for (let turn = 0; !receiver.isComplete; turn++) {
       const url = entryUrls[turn % entryUrls.length];
-      const stated = this.version;
-      const reply = await this.pullOnce(url, step, cursor);
-      if (reply === undefined) {
-        await new Promise(resolve => setTimeout(resolve, RETRY_MS));
-        continue;
-      }
-      cursor = reply.cursor;
-      for (const sample of reply.samples) {
-        if (slots.has(sample.slot)) duplicated += 1;
-        slots.add(sample.slot);
-        const oldest = Math.min(...sample.segments.map(part => part.version));
-        if (stated - oldest > stalenessBound) stale += 1;
-        samples.push(sample);
-      }
-      if (reply.complete) return {samples, duplicated, stale, cursor};
+      const reply = await this.pullOnce(url, step, receiver.cursor);
+      if (reply !== undefined) receiver.takeReply(reply, this.version);
+      else await new Promise(resolve => setTimeout(resolve, RETRY_MS));
     }
+    return receiver;
   }
 }
--- a/packages/server/src/entry/step_calls.ts
+++ b/packages/server/src/entry/step_calls.ts
@@ -76,6 +76,16 @@
   return sendCall(peer, call, STEP_DESCRIPTION_SCHEMA);
 }
 
+/** Lets an entry remember a description that could not be saved. */
+export async function notifyUnsaved(
+  peer: EntryPeer,
+  name: StepName,
+  description: StepDescription,
+): Promise<void> {
+  const bodyJson = JSON.stringify(description);
+  await peer.forwardStep({...EMPTY_CALL, ...name, operation: 'keep', bodyJson});
+}
+
 /** Tells an entry of a published version. */
 export async function notifyVersion(
   peer: EntryPeer,
--- a/packages/server/src/entry/step_service.ts
+++ b/packages/server/src/entry/step_service.ts
@@ -4,17 +4,15 @@
  */
 import {
   Clock,
-  HEARTBEAT_TIMEOUT_MS,
   PullReply,
   RulesHolder,
   ServiceError,
   StepDescription,
   StepState,
   createError,
-  findHome,
   formatStepName,
 } from '@sassafrasspan/core';
-import type {EntryPeer, StepCall, StepReply} from '@sassafrasspan/nodes';
+import type {StepCall, StepReply} from '@sassafrasspan/nodes';
 import type {ObjectStore} from '@sassafrasspan/platform';
 import {EventLog, waitMs} from '@sassafrasspan/runtime';
 import type {ScoringService} from '@sassafrasspan/scoring';
@@ -23,15 +21,15 @@
 import type {Dispatcher} from './dispatcher';
 import type {NodeDirectory} from './node_directory';
 import {
-  fetchDescription,
   encodeReply,
   forwardPull,
   forwardPut,
-  notifyVersion,
   parseDescription,
   parseVersionNotice,
 } from './step_calls';
+import {StepPeers} from './step_peers';
 import type {StepPool} from './step_pool';
+import {StepMemory} from './step_memory';
 import {StepRunner} from './step_runner';
 import {StepStore, StoredState} from './step_store';
 import {createStepState} from './step_opening';
@@ -39,7 +37,6 @@
 
 const PULL_POLL_MS = 20;
 const SAVE_INTERVAL_MS = 2_000;
-const ANNOUNCE_WAIT_MS = 250;
 
 /** Replies of a home that another entry may know better. */
 const UNSURE_KINDS = new Set(['no-endpoint', 'not-found', 'platform-down']);
@@ -65,9 +62,10 @@
 export class StepService {
   private readonly table: StepTable;
   private readonly store: StepStore;
+  private readonly memory: StepMemory;
+  private readonly peers: StepPeers;
   private savedAtMs = 0;
   private isSaving = false;
-  private isStopped = false;
 
   /** What is done for a call of another entry, by its operation. */
   private readonly handlers: Readonly<Record<string, CallHandler>> = {
@@ -79,6 +77,11 @@
     pull: async (call, name) =>
       encodeReply(await this.pullSamples(name, call, 1)),
     get: async (_call, name) => encodeReply(this.findDescription(name)),
+    keep: async (call, name) => {
+      const description = parseDescription(call);
+      if (description.isOk()) this.memory.storeStep(name, description.value);
+      return encodeReply(description.map(() => ({kept: true})));
+    },
     version: async call => {
       const notice = parseVersionNotice(call);
       if (notice.isOk()) {
@@ -90,9 +93,11 @@
 
   private constructor(private readonly options: StepServiceOptions) {
     this.store = StepStore.create(options.store);
+    this.memory = StepMemory.create(options.clock);
+    this.peers = StepPeers.create(options);
     this.table = StepTable.create({
       ...options,
-      isHome: name => this.findRemoteHome(name) === undefined,
+      isHome: name => this.peers.findRemoteHome(name) === undefined,
     });
   }
 
@@ -109,7 +114,7 @@
   ): Promise<Result<StepSummary, ServiceError>> {
     const known = this.checkKnown(name, description);
     if (known.isErr()) return err(known.error);
-    const home = hops === 0 ? this.findRemoteHome(name) : undefined;
+    const home = hops === 0 ? this.peers.findRemoteHome(name) : undefined;
     if (home !== undefined) {
       const reply = await forwardPut(home, name, description);
       if (reply.isOk() || reply.error.kind !== 'no-endpoint') return reply;
@@ -123,12 +128,22 @@
     description: StepDescription,
   ): Result<void, ServiceError> {
     const step = this.table.findStep(formatStepName(name.trainer, name.step));
-    if (step === undefined) return ok(undefined);
+    if (step === undefined) return this.checkRemembered(name, description);
     const owner = checkOwner(step, name);
     if (owner.isErr()) return owner;
     return step.runner.getState().checkDescription(description);
   }
 
+  private checkRemembered(
+    name: StepName,
+    description: StepDescription,
+  ): Result<void, ServiceError> {
+    const remembered = this.memory.findStep(name);
+    if (remembered === undefined) return ok(undefined);
+    const isSame = JSON.stringify(remembered) === JSON.stringify(description);
+    return isSame ? ok(undefined) : err(createConflict());
+  }
+
   private async putLocally(
     name: StepName,
     description: StepDescription,
@@ -144,6 +159,7 @@
     const known = this.checkKnown(name, description);
     if (known.isErr()) return err(known.error);
     const step = this.openStep(name, state.value, saved.value);
+    if (!step.isStored) await this.peers.notifyUnsaved(name, description);
     this.startWork(step);
     return ok(createSummary(step));
   }
@@ -155,21 +171,11 @@
   ): Promise<Result<void, ServiceError>> {
     const state = createStepState(this.options.rules, name, description);
     if (state.isErr()) return err(state.error);
-    const found = await this.fetchFromPeers(name);
+    const found = await this.peers.fetchDescription(name);
     if (found === undefined) return ok(undefined);
     return state.value.checkDescription(found);
   }
 
-  private async fetchFromPeers(
-    name: StepName,
-  ): Promise<StepDescription | undefined> {
-    const peers = this.listPeers().map(peer => peer.client);
-    const replies = await Promise.all(
-      peers.map(peer => fetchDescription(peer, name)),
-    );
-    return replies.find(reply => reply.isOk())?.unwrapOr(undefined);
-  }
-
   private openStep(
     name: StepName,
     state: StepState,
@@ -230,7 +236,7 @@
     pull: SamplePull,
     hops = 0,
   ): Promise<Result<PullReply, ServiceError>> {
-    const home = hops === 0 ? this.findRemoteHome(name) : undefined;
+    const home = hops === 0 ? this.peers.findRemoteHome(name) : undefined;
     if (home === undefined) return this.pullLocally(name, pull);
     const reply = await forwardPull(home, name, pull);
     if (reply.isOk() || !UNSURE_KINDS.has(reply.error.kind)) return reply;
@@ -273,9 +279,12 @@
     const stored = await this.store.findStep(name);
     const description = stored.isOk()
       ? stored.value.description
-      : await this.fetchFromPeers(name);
-    if (stored.isErr() && description === undefined) return err(stored.error);
-    if (description === undefined) return err(createConflict());
+      : (this.memory.findStep(name) ??
+        (await this.peers.fetchDescription(name)));
+    if (description === undefined) {
+      const detail = `no entry knows ${name.step}; put it again`;
+      return err(createError('not-found', detail));
+    }
     const state = createStepState(this.options.rules, name, description);
     if (state.isErr()) return err(state.error);
     const saved = stored.isOk() ? 'known' : 'unsaved';
@@ -289,24 +298,9 @@
     if (step !== undefined) {
       return checkOwner(step, name).map(() => step.description);
     }
-    return err(createError('not-found', `${name.step} is not open here`));
-  }
-
-  private listPeers() {
-    return this.options.directory
-      .listEntries()
-      .filter(entry => entry.ageMs <= HEARTBEAT_TIMEOUT_MS);
-  }
-
-  /** Finds the entry that is home to a step, unless it is this one. */
-  private findRemoteHome(name: StepName): EntryPeer | undefined {
-    const others = this.listPeers().filter(
-      entry => entry.heartbeat?.leaving === false,
-    );
-    const names = others.map(entry => entry.name);
-    if (!this.isStopped) names.push(this.options.entry);
-    const home = findHome(formatStepName(name.trainer, name.step), names);
-    return others.find(entry => entry.name === home)?.client;
+    const remembered = this.memory.findStep(name);
+    if (remembered !== undefined) return ok(remembered);
+    return err(createError('not-found', `${name.step} is not known here`));
   }
 
   /** Answers a call that another entry has forwarded. */
@@ -322,10 +316,7 @@
    * answer soon. */
   async publishVersion(service: string, version: number): Promise<void> {
     this.table.observeVersion(service, version);
-    const notices = this.listPeers().map(peer =>
-      notifyVersion(peer.client, {service, version}),
-    );
-    await Promise.race([Promise.all(notices), waitMs(ANNOUNCE_WAIT_MS)]);
+    await this.peers.notifyVersion({service, version});
   }
 
   /** Starts whatever work the steps here still need. */
@@ -352,7 +343,7 @@
 
   /** Starts no more work; the steps' home is elsewhere from now on. */
   stop(): void {
-    this.isStopped = true;
+    this.peers.leave();
     this.table.stop();
   }
 }
