Do not acknowledge over a closed connection to an agent

Cause: cancelling a copy whose agent had left the VM list called a closed gRPC channel, which throws, and the entry died. Seen as a time-out of the test of weight versions (pulls without an entry); the entry's log held the stack. Ruled out: staleness filter and adoption. An acknowledgement to an agent that is no longer known is dropped now; kept answers expire there by themselves.

A new home tries every kept answer of a slot before it generates.

--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -80,6 +80,8 @@
 
 /** Agent over gRPC. */
 export class AgentClient implements AgentPeer {
+  private isClosed = false;
+
   private constructor(
     readonly address: string,
     private readonly client: AgentNodeClient,
@@ -129,6 +131,7 @@
   }
 
   acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void {
+    if (this.isClosed) return;
     const deadline = Date.now() + UNARY_TIMEOUT_MS;
     const request = {requestId, cancel, ...run};
     const options = {deadline};
@@ -181,6 +184,7 @@
   }
 
   close(): void {
+    this.isClosed = true;
     this.client.close();
   }
 }
--- a/packages/server/src/entry/step_runner.ts
+++ b/packages/server/src/entry/step_runner.ts
@@ -105,24 +105,43 @@
     if (this.adoption !== 'none') return;
     this.adoption = 'running';
     const {identityKey} = this.options.state;
-    for (const run of await listKeptRuns(identityKey, agents)) {
-      if (!this.isStopped) this.adoptRun(run);
+    const runs = await listKeptRuns(identityKey, agents);
+    for (const slot of new Set(runs.map(run => run.slot))) {
+      if (this.isStopped) break;
+      this.adoptSlot(
+        slot,
+        runs.filter(run => run.slot === slot),
+      );
     }
     this.adoption = 'done';
     this.options.handleChange();
   }
 
-  private adoptRun(run: KeptRun): void {
-    const {state, home} = this.options;
-    if (run.slot >= state.countSlots() || !state.needsCopy(run.slot)) return;
-    const work = state.startCopy(run.slot, this.readNowMs());
+  private adoptSlot(slot: number, runs: readonly KeptRun[]): void {
+    const {state, log} = this.options;
+    if (slot >= state.countSlots() || !state.needsCopy(slot)) return;
+    const work = state.startCopy(slot, this.readNowMs());
     this.running.set(work.copyId, {cancel: () => undefined});
-    const releaseAnswer = () => run.agent.acknowledgeRun(run.requestId, false);
-    void AnswerAdoption.create(run, home)
-      .readAnswer()
-      .then(answer => this.finishCopy(work, answer, releaseAnswer));
-    const {slot} = run;
-    this.options.log.writeEvent('sample-recovered', {slot});
+    log.writeEvent('sample-recovered', {slot});
+    void this.adoptFirst(work, runs);
+  }
+
+  /** Takes the first answer that is whole. */
+  private async adoptFirst(
+    work: SlotWork,
+    runs: readonly KeptRun[],
+  ): Promise<void> {
+    const {home} = this.options;
+    let answer: Result<CollectedAnswer, ServiceError> = err(
+      createError('agent-lost', 'no whole answer is kept'),
+    );
+    let releaseAnswer = () => undefined as void;
+    for (const {agent, ...run} of runs) {
+      answer = await AnswerAdoption.create({...run, agent}, home).readAnswer();
+      releaseAnswer = () => agent.acknowledgeRun(run.requestId, false);
+      if (answer.isOk()) break;
+    }
+    await this.finishCopy(work, answer, releaseAnswer);
   }
 
   /** Starts a copy of a slot. */
