Deliver the oldest samples first and fill older steps first

Cause: samples left in the order of their arrival, so a straggler, which names an old version, waited behind the whole step and went stale at its end; it was then generated again while the trainer stood still.

Change: a pull takes the samples first that will be stale first; a trainer's older steps are filled before its newer ones; a trainer runs ahead only as far as its bound and its weight of idle time allow.

--- a/packages/core/src/rollout/current_policy.ts
+++ b/packages/core/src/rollout/current_policy.ts
@@ -1,11 +1,11 @@
 /**
- * The policy in use: the pool's free slots go to the steps by weighted fair
- * share, predicted-long groups first, nothing that would be stale on arrival,
- * and what is left over to second copies of stragglers.
+ * The policy in use: the pool's free slots go to the trainers by weighted fair
+ * share, to the oldest step of each first, predicted-long groups before
+ * others, nothing that would be stale on arrival, and what is left over to
+ * second copies of stragglers.
  */
 import {orderSlots} from './slot_order';
-import {isStaleOnArrival} from './staleness_forecast';
-import {findStragglers} from './straggler_copies';
+import {countAllowedAhead, isStaleOnArrival} from './staleness_forecast';
 import type {
   MissingSlot,
   PoolSupply,
@@ -13,83 +13,110 @@
   SlotStart,
   StepDemand,
 } from './step_policy';
+import {findStragglers} from './straggler_copies';
 
-/** Share of idle weight that every step has at least. */
+/** Idle weight that every trainer counts with at least. */
 const MIN_IDLE_WEIGHT = 0.1;
 /** A step whose open slots fit this share of the pool is in its tail. */
 const TAIL_SHARE = 0.25;
-/** Weight of a step in its tail against the same step before. */
+/** Weight of a trainer in the tail of a step against the same before. */
 const TAIL_FACTOR = 2;
 
-/** A step with the starts that it has been given so far. */
-interface StepTurn {
+/** A slot that may be started, with its step. */
+interface WaitingSlot {
   readonly step: StepDemand;
-  readonly waiting: MissingSlot[];
+  readonly slot: MissingSlot;
+}
+
+/** A trainer with the starts that it has been given so far. */
+interface TrainerTurn {
+  readonly steps: readonly StepDemand[];
+  /** Slots in the order in which they are to be started. */
+  readonly waiting: WaitingSlot[];
   readonly weight: number;
-  readonly isTail: boolean;
   running: number;
 }
 
 /** Plans starts for the free slots of the pool. */
 export function planCurrent(view: RolloutView): SlotStart[] {
-  const turns = view.steps.map(step => createTurn(step, view.pool));
+  const turns = groupByTrainer(view.steps).map(steps =>
+    createTurn(steps, view.pool),
+  );
   const starts: SlotStart[] = [];
   while (starts.length < view.pool.freeSlots) {
     const turn = chooseTurn(turns);
     const next = turn?.waiting.shift();
     if (turn === undefined || next === undefined) break;
     turn.running += 1;
-    starts.push(createStart(turn, next.slot, 'missing'));
+    const {step, slot} = next;
+    starts.push(createStart(step, slot.slot, 'missing', view.pool));
   }
-  return [...starts, ...planCopies(view, turns, starts.length)];
+  return [...starts, ...planCopies(view, starts.length)];
 }
 
-function createTurn(step: StepDemand, pool: PoolSupply): StepTurn {
-  const open = step.missing.length + step.running.length;
-  const isTail = open <= pool.slots * TAIL_SHARE;
-  const base = Math.max(MIN_IDLE_WEIGHT, step.idleWeight);
-  const fresh = step.missing.filter(
-    item => !isStaleOnArrival(item, step, pool),
+function groupByTrainer(steps: readonly StepDemand[]): StepDemand[][] {
+  const groups = new Map<string, StepDemand[]>();
+  for (const step of steps) {
+    const [trainer] = step.stepName.split('/');
+    groups.set(trainer, [...(groups.get(trainer) ?? []), step]);
+  }
+  return [...groups.values()];
+}
+
+function createTurn(
+  steps: readonly StepDemand[],
+  pool: PoolSupply,
+): TrainerTurn {
+  const weight = Math.max(MIN_IDLE_WEIGHT, steps[0].idleWeight);
+  const waiting = steps.flatMap(step =>
+    orderSlots(step.missing)
+      .filter(slot => !isStaleOnArrival(slot, step, pool))
+      .map(slot => ({step, slot})),
   );
   return {
-    step,
-    waiting: orderSlots(fresh),
-    weight: isTail ? base * TAIL_FACTOR : base,
-    isTail,
-    running: step.running.length,
+    steps,
+    waiting: waiting.slice(0, countAllowedAhead(steps)),
+    weight: isInTail(steps[0], pool) ? weight * TAIL_FACTOR : weight,
+    running: sumAll(steps.map(step => step.running.length)),
   };
 }
 
-/** Chooses the step that is furthest below its share. */
-function chooseTurn(turns: readonly StepTurn[]): StepTurn | undefined {
+function isInTail(step: StepDemand, pool: PoolSupply): boolean {
+  const open = step.missing.length + step.running.length;
+  return open <= pool.slots * TAIL_SHARE;
+}
+
+/** Chooses the trainer that is furthest below its share. */
+function chooseTurn(turns: readonly TrainerTurn[]): TrainerTurn | undefined {
   const open = turns.filter(turn => turn.waiting.length > 0);
   const loads = open.map(turn => turn.running / turn.weight);
   return open[loads.indexOf(Math.min(...loads))];
 }
 
 /** Gives the slots that are left to second copies. */
-function planCopies(
-  view: RolloutView,
-  turns: readonly StepTurn[],
-  used: number,
-): SlotStart[] {
+function planCopies(view: RolloutView, used: number): SlotStart[] {
   const left = Math.max(0, view.pool.freeSlots - used);
-  const copies = turns
-    .filter(turn => turn.waiting.length === 0)
-    .sort((a, b) => b.weight - a.weight)
-    .flatMap(turn =>
-      findStragglers(turn.step, view).map(slot =>
-        createStart(turn, slot, 'straggler'),
+  const copies = view.steps
+    .filter(step => step.missing.length === 0)
+    .sort((a, b) => b.idleWeight - a.idleWeight)
+    .flatMap(step =>
+      findStragglers(step, view).map(slot =>
+        createStart(step, slot, 'straggler', view.pool),
       ),
     );
   return copies.slice(0, left);
 }
 
 function createStart(
-  turn: StepTurn,
+  step: StepDemand,
   slot: number,
   reason: SlotStart['reason'],
+  pool: PoolSupply,
 ): SlotStart {
-  const {stepName} = turn.step;
-  return {stepName, slot, reason, isTail: turn.isTail};
+  const {stepName} = step;
+  return {stepName, slot, reason, isTail: isInTail(step, pool)};
+}
+
+function sumAll(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
 }
--- a/packages/core/src/rollout/step_policy.ts
+++ b/packages/core/src/rollout/step_policy.ts
@@ -37,6 +37,11 @@
   readonly trainerVersion: number;
   /** Slots of the step. */
   readonly total: number;
+  /** Samples that wait to be pulled. */
+  readonly ready: number;
+  /** Samples that the trainer takes for each version it publishes;
+   * undefined when not known. */
+  readonly samplesPerVersion: number | undefined;
   readonly missing: readonly MissingSlot[];
   /** Copies under way; a slot with a second copy stands twice. */
   readonly running: readonly RunningCopy[];
@@ -62,6 +67,7 @@
 export interface RolloutView {
   readonly nowMs: number;
   readonly pool: PoolSupply;
+  /** The open steps; those of one trainer in the order of their opening. */
   readonly steps: readonly StepDemand[];
 }
 
--- a/packages/core/src/rollout/step_state.ts
+++ b/packages/core/src/rollout/step_state.ts
@@ -9,7 +9,7 @@
 import {ErrorKind, ServiceError, createError} from '../errors/error_kinds';
 import {DeliveredSet} from './cursor';
 import {LengthPredictor} from './length_predictor';
-import {isStale} from './sample_checks';
+import {findOldestVersion, isStale} from './sample_checks';
 import {SlotCopies, SlotCopy} from './slot_copies';
 import type {MissingSlot, StepDemand} from './step_policy';
 import {formatStepIdentity} from './step_runs';
@@ -75,6 +75,8 @@
   private droppedStale = 0;
   private droppedSlots: number[] = [];
   private newestVersion = 0;
+  /** Newest version at the first pull. */
+  private firstVersion: number | undefined;
 
   private constructor(readonly options: StepOptions) {
     this.identityKey = formatStepIdentity(options);
@@ -117,6 +119,8 @@
       stalenessBound: this.readBound(),
       trainerVersion: this.newestVersion,
       total: this.countSlots(),
+      ready: this.ready.size,
+      samplesPerVersion: this.estimateSamplesPerVersion(),
       missing: this.listMissing(nowMs),
       running: this.copies.describe(groupSize, group =>
         this.predictor.predictTokens(group),
@@ -124,6 +128,11 @@
     };
   }
 
+  private estimateSamplesPerVersion(): number | undefined {
+    const versions = this.newestVersion - (this.firstVersion ?? Infinity);
+    return versions > 0 ? this.acknowledged.count() / versions : undefined;
+  }
+
   private listMissing(nowMs: number): MissingSlot[] {
     const missing: MissingSlot[] = [];
     for (let slot = 0; slot < this.countSlots(); slot++) {
@@ -224,6 +233,7 @@
     );
     if (decoded.isErr()) return err(decoded.error);
     this.observeVersion(request.trainerVersion);
+    this.firstVersion ??= this.newestVersion;
     this.applyCursor(decoded.value);
     const {maxSamples} = request;
     return ok({delivered: decoded.value, maxSamples});
@@ -245,11 +255,15 @@
     }
   }
 
-  /** Answers a pull with samples that its cursor does not hold. */
+  /**
+   * Answers a pull with samples that its cursor does not hold, those first
+   * that will be stale first.
+   */
   answerPull(pull: OpenPull): PullReply {
     this.dropStale();
     const samples = [...this.ready.values()]
       .filter(sample => !pull.delivered.has(sample.slot))
+      .sort(compareAge)
       .slice(0, pull.maxSamples);
     const slots = samples.map(sample => sample.slot);
     const next = pull.delivered.addSlots(slots);
@@ -314,3 +328,7 @@
     return err(createError('conflict', 'the step has another description'));
   }
 }
+
+function compareAge(a: Sample, b: Sample): number {
+  return findOldestVersion(a.segments) - findOldestVersion(b.segments);
+}
