Never hold back a trainer's first open step

Cause: with no sample acknowledged over a publication, the estimated rate was zero and nothing was started for ever.

--- a/packages/core/src/rollout/current_policy.ts
+++ b/packages/core/src/rollout/current_policy.ts
@@ -68,14 +68,15 @@
   pool: PoolSupply,
 ): TrainerTurn {
   const weight = Math.max(MIN_IDLE_WEIGHT, steps[0].idleWeight);
-  const waiting = steps.flatMap(step =>
+  const waiting = steps.flatMap((step, at) =>
     orderSlots(step.missing)
       .filter(slot => !isStaleOnArrival(slot, step, pool))
+      .slice(0, countAllowedAhead(step, steps.slice(0, at)))
       .map(slot => ({step, slot})),
   );
   return {
     steps,
-    waiting: waiting.slice(0, countAllowedAhead(steps)),
+    waiting,
     weight: isInTail(steps[0], pool) ? weight * TAIL_FACTOR : weight,
     running: sumAll(steps.map(step => step.running.length)),
   };
--- a/packages/core/src/rollout/staleness_forecast.ts
+++ b/packages/core/src/rollout/staleness_forecast.ts
@@ -31,21 +31,31 @@
 }
 
 /**
- * Returns how many slots a trainer may have started beyond what waits or runs
- * already. A sample started now is delivered after those, so that more of
- * them make it older. The lower the weight of idle time, the smaller the part
- * of the bound that the wait may use up.
+ * Returns how many slots of a step may be started while the trainer's earlier
+ * steps are open. A sample started now is delivered after all that is before
+ * it, so that more of that makes it older. The lower the weight of idle time,
+ * the smaller the part of the bound that this wait may use up. The trainer's
+ * first open step is never held back.
  */
-export function countAllowedAhead(steps: readonly StepDemand[]): number {
-  const rates = steps.flatMap(step => step.samplesPerVersion ?? []);
-  if (rates.length === 0) return Number.MAX_SAFE_INTEGER;
-  const {idleWeight} = steps[0];
-  const bound = Math.min(...steps.map(step => step.stalenessBound));
+export function countAllowedAhead(
+  step: StepDemand,
+  earlier: readonly StepDemand[],
+): number {
+  if (earlier.length === 0) return step.missing.length;
+  const rates = [...earlier, step].flatMap(
+    item => item.samplesPerVersion ?? [],
+  );
+  if (rates.length === 0) return step.missing.length;
+  const {idleWeight, stalenessBound} = step;
   const share = MIN_AHEAD_SHARE + (1 - MIN_AHEAD_SHARE) * idleWeight;
-  const versions = Math.max(1, bound * share);
-  const ahead = steps.map(step => step.ready + step.running.length);
-  const sum = ahead.reduce((total, count) => total + count, 0);
-  return Math.max(0, Math.ceil(Math.max(...rates) * versions) - sum);
+  const ahead = Math.max(...rates) * stalenessBound * share;
+  const before = earlier.map(item => item.missing.length + countStarted(item));
+  const sum = before.reduce((total, count) => total + count, 0);
+  return Math.max(0, Math.ceil(ahead) - sum - countStarted(step));
+}
+
+function countStarted(step: StepDemand): number {
+  return step.ready + step.running.length;
 }
 
 /** Returns the time that an answer takes, in ms; 0 when not known. */
