Start a trainer's next step as its weight of idle time allows

The pace of a trainer, samples sent for each version, is taken at the publication, so that part of a batch does not count twice. Until it is known, the next step is started to the share of the weight of idle time; then as far ahead as that share of the staleness bound.

--- a/packages/core/src/rollout/staleness_forecast.ts
+++ b/packages/core/src/rollout/staleness_forecast.ts
@@ -2,9 +2,6 @@
 import type {MissingSlot, PoolSupply, StepDemand} from './step_policy';
 
 const MS_PER_SECOND = 1_000;
-/** Share of the bound that samples may wait for where idle time counts
- * nothing. */
-const MIN_AHEAD_SHARE = 0.3;
 
 /**
  * Tells whether a slot had better not be started now.
@@ -34,7 +31,8 @@
  * Returns how many slots of a step may be started while the trainer's earlier
  * steps are open. A sample started now is delivered after all that is before
  * it, so that more of that makes it older. The lower the weight of idle time,
- * the smaller the part of the bound that this wait may use up. The trainer's
+ * the smaller the part of the bound that this wait may use up; until the pace
+ * of the trainer is known, the smaller the part of the step. The trainer's
  * first open step is never held back.
  */
 export function countAllowedAhead(
@@ -42,13 +40,14 @@
   earlier: readonly StepDemand[],
 ): number {
   if (earlier.length === 0) return step.missing.length;
+  const {idleWeight, stalenessBound} = step;
   const rates = [...earlier, step].flatMap(
     item => item.samplesPerVersion ?? [],
   );
-  if (rates.length === 0) return step.missing.length;
-  const {idleWeight, stalenessBound} = step;
-  const share = MIN_AHEAD_SHARE + (1 - MIN_AHEAD_SHARE) * idleWeight;
-  const ahead = Math.max(...rates) * stalenessBound * share;
+  if (rates.length === 0) {
+    return Math.max(0, step.total * idleWeight - countStarted(step));
+  }
+  const ahead = Math.max(...rates) * stalenessBound * idleWeight;
   const before = earlier.map(item => item.missing.length + countStarted(item));
   const sum = before.reduce((total, count) => total + count, 0);
   return Math.max(0, Math.ceil(ahead) - sum - countStarted(step));
--- a/packages/core/src/rollout/step_state.ts
+++ b/packages/core/src/rollout/step_state.ts
@@ -77,6 +77,8 @@
   private newestVersion = 0;
   /** Newest version at the first pull. */
   private firstVersion: number | undefined;
+  private sentCount = 0;
+  private samplesPerVersion: number | undefined;
 
   private constructor(readonly options: StepOptions) {
     this.identityKey = formatStepIdentity(options);
@@ -120,7 +122,7 @@
       trainerVersion: this.newestVersion,
       total: this.countSlots(),
       ready: this.ready.size,
-      samplesPerVersion: this.estimateSamplesPerVersion(),
+      samplesPerVersion: this.samplesPerVersion,
       missing: this.listMissing(nowMs),
       running: this.copies.describe(groupSize, group =>
         this.predictor.predictTokens(group),
@@ -128,11 +130,6 @@
     };
   }
 
-  private estimateSamplesPerVersion(): number | undefined {
-    const versions = this.newestVersion - (this.firstVersion ?? Infinity);
-    return versions > 0 ? this.acknowledged.count() / versions : undefined;
-  }
-
   private listMissing(nowMs: number): MissingSlot[] {
     const missing: MissingSlot[] = [];
     for (let slot = 0; slot < this.countSlots(); slot++) {
@@ -221,7 +218,10 @@
 
   /** Takes in a version that the trainer stated or published. */
   observeVersion(version: number): void {
-    this.newestVersion = Math.max(this.newestVersion, version);
+    if (version <= this.newestVersion) return;
+    this.newestVersion = version;
+    if (this.firstVersion === undefined || this.sentCount === 0) return;
+    this.samplesPerVersion = this.sentCount / (version - this.firstVersion);
   }
 
   /** Reads the cursor of a pull and takes it in, once a pull. */
@@ -269,6 +269,7 @@
     const next = pull.delivered.addSlots(slots);
     const failed = this.listFailed(next);
     const delivered = next.count();
+    this.sentCount = Math.max(this.sentCount, delivered);
     return {
       samples,
       cursor: next.encode(),
