--- a/packages/core/src/rollout/current_policy.ts
+++ b/packages/core/src/rollout/current_policy.ts
@@ -1,16 +1,16 @@
 /**
  * The policy in use: the pool's free slots go to the trainers by weighted fair
- * share, to the oldest step of each first, predicted-long groups before
- * others, nothing that would be stale on arrival, and what is left over to
- * second copies of stragglers.
+ * share, and to the oldest step of each first: its missing slots in the order
+ * of predicted length, none that would be stale on arrival, then second copies
+ * of its stragglers.
  */
 import {orderSlots} from './slot_order';
 import {countAllowedAhead, isStaleOnArrival} from './staleness_forecast';
 import type {
-  MissingSlot,
   PoolSupply,
   RolloutView,
   SlotStart,
+  StartReason,
   StepDemand,
 } from './step_policy';
 import {findStragglers} from './straggler_copies';
@@ -25,7 +25,8 @@
 /** A slot that may be started, with its step. */
 interface WaitingSlot {
   readonly step: StepDemand;
-  readonly slot: MissingSlot;
+  readonly slot: number;
+  readonly reason: StartReason;
 }
 
 /** A trainer with the starts that it has been given so far. */
@@ -39,8 +40,8 @@
 
 /** Plans starts for the free slots of the pool. */
 export function planCurrent(view: RolloutView): SlotStart[] {
-  const turns = groupByTrainer(view.steps).map(steps =>
-    createTurn(steps, view.pool),
+  const turns = splitByTrainer(view.steps).map(steps =>
+    createTurn(steps, view),
   );
   const starts: SlotStart[] = [];
   while (starts.length < view.pool.freeSlots) {
@@ -48,13 +49,12 @@
     const next = turn?.waiting.shift();
     if (turn === undefined || next === undefined) break;
     turn.running += 1;
-    const {step, slot} = next;
-    starts.push(createStart(step, slot.slot, 'missing', view.pool));
+    starts.push(createStart(next, view.pool));
   }
-  return [...starts, ...planCopies(view, starts.length)];
+  return starts;
 }
 
-function groupByTrainer(steps: readonly StepDemand[]): StepDemand[][] {
+function splitByTrainer(steps: readonly StepDemand[]): StepDemand[][] {
   const groups = new Map<string, StepDemand[]>();
   for (const step of steps) {
     const [trainer] = step.stepName.split('/');
@@ -65,15 +65,14 @@
 
 function createTurn(
   steps: readonly StepDemand[],
-  pool: PoolSupply,
+  view: RolloutView,
 ): TrainerTurn {
+  const {pool} = view;
   const weight = Math.max(MIN_IDLE_WEIGHT, steps[0].idleWeight);
-  const waiting = steps.flatMap((step, at) =>
-    orderSlots(step.missing)
-      .filter(slot => !isStaleOnArrival(slot, step, pool))
-      .slice(0, countAllowedAhead(step, steps.slice(0, at)))
-      .map(slot => ({step, slot})),
-  );
+  const waiting = steps.flatMap((step, at) => {
+    if (step.missing.length === 0) return listCopies(step, view);
+    return listMissing(step, steps.slice(0, at), pool);
+  });
   return {
     steps,
     waiting,
@@ -82,6 +81,26 @@
   };
 }
 
+function listMissing(
+  step: StepDemand,
+  earlier: readonly StepDemand[],
+  pool: PoolSupply,
+): WaitingSlot[] {
+  return orderSlots(step.missing)
+    .filter(item => !isStaleOnArrival(item, step, pool))
+    .slice(0, countAllowedAhead(step, earlier))
+    .map(({slot}) => ({step, slot, reason: 'missing'}));
+}
+
+/** A step of which every slot is started waits for its stragglers. */
+function listCopies(step: StepDemand, view: RolloutView): WaitingSlot[] {
+  return findStragglers(step, view).map(slot => ({
+    step,
+    slot,
+    reason: 'straggler',
+  }));
+}
+
 function isInTail(step: StepDemand, pool: PoolSupply): boolean {
   const open = step.missing.length + step.running.length;
   return open <= pool.slots * TAIL_SHARE;
@@ -94,28 +113,14 @@
   return open[loads.indexOf(Math.min(...loads))];
 }
 
-/** Gives the slots that are left to second copies. */
-function planCopies(view: RolloutView, used: number): SlotStart[] {
-  const left = Math.max(0, view.pool.freeSlots - used);
-  const copies = view.steps
-    .filter(step => step.missing.length === 0)
-    .sort((a, b) => b.idleWeight - a.idleWeight)
-    .flatMap(step =>
-      findStragglers(step, view).map(slot =>
-        createStart(step, slot, 'straggler', view.pool),
-      ),
-    );
-  return copies.slice(0, left);
-}
-
-function createStart(
-  step: StepDemand,
-  slot: number,
-  reason: SlotStart['reason'],
-  pool: PoolSupply,
-): SlotStart {
-  const {stepName} = step;
-  return {stepName, slot, reason, isTail: isInTail(step, pool)};
+function createStart(waiting: WaitingSlot, pool: PoolSupply): SlotStart {
+  const {step, slot, reason} = waiting;
+  return {
+    stepName: step.stepName,
+    slot,
+    reason,
+    isTail: isInTail(step, pool),
+  };
 }
 
 function sumAll(values: readonly number[]): number {
