Copy stragglers that are over their predicted length too

Cause: an answer over its prediction counted as almost done, so a long answer on a slow endpoint never got a second copy. Lengths have long tails; such an answer is taken to become twice as long, and a copy must save a quarter.

--- /dev/null
+++ b/packages/core/src/rollout/step_policy.test.ts
@@ -0,0 +1,110 @@
+import {ROLLOUT_POLICIES} from './step_policy';
+import type {PoolSupply, RunningCopy, StepDemand} from './step_policy';
+
+const POOL: PoolSupply = {
+  slots: 16,
+  freeSlots: 4,
+  servedVersion: 5,
+  versionIntervalMs: undefined,
+  sinceVersionMs: 0,
+  tokensPerSecond: 100,
+};
+
+function createStep(fields: Partial<StepDemand> = {}): StepDemand {
+  return {
+    stepName: 'briefs/1',
+    idleWeight: 0.8,
+    stalenessBound: 2,
+    trainerVersion: 5,
+    total: 16,
+    ready: 0,
+    samplesPerVersion: undefined,
+    missing: [0, 1, 2, 3, 4, 5, 6, 7].map(slot => ({
+      slot,
+      group: slot >> 1,
+      expectedTokens: 100 + 50 * (slot >> 1),
+    })),
+    running: [],
+    ...fields,
+  };
+}
+
+function createCopy(fields: Partial<RunningCopy>): RunningCopy {
+  const place = {slot: 9, group: 4, expectedTokens: 400};
+  return {...place, startedAtMs: 0, generatedTokens: 0, ...fields};
+}
+
+function planSlots(
+  steps: readonly StepDemand[],
+  pool: Partial<PoolSupply> = {},
+  policy: keyof typeof ROLLOUT_POLICIES = 'current',
+): string[] {
+  const view = {nowMs: 4_000, pool: {...POOL, ...pool}, steps};
+  return ROLLOUT_POLICIES[policy]
+    .planStarts(view)
+    .map(start => `${start.stepName}#${start.slot} ${start.reason}`);
+}
+
+test('predicted-long groups start first, each group together', () => {
+  expect(planSlots([createStep()])).toMatchSnapshot();
+});
+
+test('the first landed policy starts slots in order', () => {
+  const slots = planSlots([createStep()], {slots: 3}, 'fifo');
+  expect(slots).toMatchSnapshot();
+});
+
+test('trainers share by their weight of idle time', () => {
+  const leoben = createStep({stepName: 'critiques/1', idleWeight: 0.2});
+  const starts = planSlots([createStep(), leoben], {freeSlots: 10});
+  const count = starts.filter(start => start.startsWith('briefs')).length;
+  expect(count).toBe(8);
+});
+
+test('the next step starts as far ahead as the bound and weight allow', () => {
+  const first = createStep({missing: [], ready: 4, samplesPerVersion: 4});
+  const counts = [0.2, 0.8, 1].map(idleWeight => {
+    const next = createStep({stepName: 'briefs/2', idleWeight});
+    return planSlots([first, next], {freeSlots: 16}).length;
+  });
+  expect(counts).toEqual([0, 3, 4]);
+});
+
+test('the step that the trainer waits for is never held back', () => {
+  const step = createStep({samplesPerVersion: 0.1, ready: 8});
+  expect(planSlots([step])).toHaveLength(POOL.freeSlots);
+});
+
+test('nothing starts that would be stale on arrival', () => {
+  const behind = createStep({trainerVersion: 8});
+  const due = {versionIntervalMs: 9_000, sinceVersionMs: 8_500};
+  const atBound = {...behind, trainerVersion: 7};
+  const careful = {...atBound, idleWeight: 0.2};
+  const overdue = {versionIntervalMs: 9_000, sinceVersionMs: 9_500};
+  expect({
+    behindTheBound: planSlots([behind]),
+    versionDue: planSlots([atBound], due).length,
+    versionDueCareful: planSlots([careful], due).length,
+    versionOverdue: planSlots([careful], overdue).length,
+  }).toMatchSnapshot();
+});
+
+test('a copy is made of what another endpoint would overtake', () => {
+  const count = (copies: readonly RunningCopy[]) =>
+    planSlots([createStep({missing: [], running: copies})]).length;
+  expect({
+    slow: count([createCopy({generatedTokens: 20})]),
+    silent: count([createCopy({})]),
+    ordinary: count([createCopy({generatedTokens: 300})]),
+    young: count([createCopy({startedAtMs: 3_500})]),
+    copiedBefore: count([createCopy({}), createCopy({})]),
+    slowAndLong: count([createCopy({expectedTokens: 50, generatedTokens: 80})]),
+    longAlone: count([createCopy({expectedTokens: 50, generatedTokens: 390})]),
+  }).toMatchSnapshot();
+});
+
+test('stragglers of the first step go before the next step', () => {
+  const first = createStep({missing: [], running: [createCopy({})]});
+  const next = createStep({stepName: 'briefs/2'});
+  expect(planSlots([first, next])[0]).toBe('briefs/1#9 straggler');
+});
--- a/packages/core/src/rollout/step_state.test.ts
+++ b/packages/core/src/rollout/step_state.test.ts
@@ -108,3 +108,16 @@
   expect(obsolete).toEqual([first.copyId]);
   expect(state.countInFlight()).toBe(0);
 });
+
+test('what will be stale first is delivered first', () => {
+  const state = createState();
+  const versions = [7, 5, 6, 5];
+  for (const [slot, version] of versions.entries()) {
+    const {copyId} = state.startCopy(slot, 0);
+    state.addSample(copyId, createSample(slot, version), 10);
+  }
+  const first = pull(state, '', 7);
+  const second = pull(state, first.cursor, 7);
+  const order = [first, second].flatMap(reply => reply.samples);
+  expect(order.map(sample => sample.slot)).toEqual([1, 3, 2, 0]);
+});
--- a/packages/core/src/rollout/straggler_copies.ts
+++ b/packages/core/src/rollout/straggler_copies.ts
@@ -13,11 +13,13 @@
 import {predictDurationMs} from './staleness_forecast';
 
 const MAX_COPIES = 2;
+/** An answer over its prediction is taken to become this much longer. */
+const OVERRUN_FACTOR = 2;
 const MS_PER_SECOND = 1_000;
 /** Time for which a copy is left alone before its speed is judged. */
 const MIN_OBSERVED_MS = 1_000;
 /** A copy must be foreseen to end in this share of the time left. */
-const COPY_GAIN_SHARE = 0.5;
+const COPY_GAIN_SHARE = 0.75;
 
 /** Returns the slots that deserve a second copy, the slowest first. */
 export function findStragglers(step: StepDemand, view: RolloutView): number[] {
@@ -59,7 +61,9 @@
   return pool.tokensPerSecond / MS_PER_SECOND;
 }
 
-/** An answer that is over its prediction is taken to be near its end. */
+/** Lengths have long tails: what is over its prediction goes on for long. */
 function predictTokens(copy: RunningCopy): number {
-  return Math.max(copy.expectedTokens, copy.generatedTokens + 1);
+  const {expectedTokens, generatedTokens} = copy;
+  if (generatedTokens < expectedTokens) return expectedTokens;
+  return generatedTokens * OVERRUN_FACTOR;
 }
