Survive calls of a client that has been closed

Cause: grpc-js throws from a call of a closed client instead of failing the call. An agent whose address changed under requests in flight was closed by the directory, and the acknowledgement that followed ended the whole entry. Ruled out: the policy of steps and the agents, which had all ended their work.

--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -7,9 +7,11 @@
  */
 import {ClientReadableStream, Metadata, credentials} from '@grpc/grpc-js';
 import {ServiceError, createError} from '@sassafrasspan/core';
+import {describeError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {CHANNEL_OPTIONS} from './channel_options';
 import {
+  AcknowledgeReply,
   AgentHeartbeat,
   AgentNodeClient,
   FetchRulesReply,
@@ -94,7 +96,7 @@
     request: RunRequest,
     listener: StreamListener<RunFrame>,
   ): StreamHandle {
-    return followStream(this.client.run(request), listener);
+    return followStream(() => this.client.run(request), listener);
   }
 
   resumeRun(
@@ -102,7 +104,7 @@
     listener: StreamListener<RunFrame>,
   ): StreamHandle {
     const fresh = createAgentStub(this.address);
-    const handle = followStream(fresh.resume(request), {
+    const handle = followStream(() => fresh.resume(request), {
       receiveMessage: frame => listener.receiveMessage(frame),
       handleLoss: reason => {
         fresh.close();
@@ -129,10 +131,10 @@
   }
 
   acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void {
-    const deadline = Date.now() + UNARY_TIMEOUT_MS;
     const request = {requestId, cancel, ...run};
-    const options = {deadline};
-    this.client.acknowledge(request, new Metadata(), options, () => undefined);
+    void callUnary<AcknowledgeReply>((metadata, options, done) =>
+      this.client.acknowledge(request, metadata, options, done),
+    );
   }
 
   async listAnswers(
@@ -158,7 +160,7 @@
   ): Promise<Result<WeightsChunk, ServiceError>> {
     return new Promise(resolve => {
       const missing = createError('not-found', 'the agent has no such weights');
-      followStream(this.client.fetchWeights(request), {
+      followStream(() => this.client.fetchWeights(request), {
         receiveMessage: chunk => resolve(ok(chunk)),
         handleLoss: () => resolve(err(missing)),
       });
@@ -177,7 +179,7 @@
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
   ): StreamHandle {
-    return followStream(this.client.watch(request), listener);
+    return followStream(() => this.client.watch(request), listener);
   }
 
   close(): void {
@@ -207,18 +209,39 @@
     options: UnaryOptions,
     done: UnaryDone<T>,
   ) => void,
+  timeoutMs = UNARY_TIMEOUT_MS,
 ): Promise<Result<T, ServiceError>> {
   return new Promise(resolve => {
-    const deadline = Date.now() + UNARY_TIMEOUT_MS;
-    start(new Metadata(), {deadline}, (error, reply) => {
-      if (error === null) resolve(ok(reply));
-      else resolve(err(createError('agent-lost', error.message)));
-    });
+    const deadline = Date.now() + timeoutMs;
+    const fail = (error: unknown) =>
+      resolve(err(createError('agent-lost', describeError(error))));
+    try {
+      start(new Metadata(), {deadline}, (error, reply) => {
+        if (error === null) resolve(ok(reply));
+        else fail(error);
+      });
+    } catch (error) {
+      // A client that has been closed throws instead of calling back.
+      fail(error);
+    }
   });
 }
 
 /** Follows a stream until it ends, fails or goes silent. */
 export function followStream<T>(
+  start: () => ClientReadableStream<T>,
+  listener: StreamListener<T>,
+): StreamHandle {
+  try {
+    return followOpenStream(start(), listener);
+  } catch (error) {
+    // A client that has been closed throws instead of failing the stream.
+    const timer = setImmediate(() => listener.handleLoss(describeError(error)));
+    return {cancel: () => clearImmediate(timer)};
+  }
+}
+
+function followOpenStream<T>(
   stream: ClientReadableStream<T>,
   listener: StreamListener<T>,
 ): StreamHandle {
--- a/packages/nodes/src/entry_client.ts
+++ b/packages/nodes/src/entry_client.ts
@@ -1,7 +1,7 @@
 /** An entry's connection to another entry. */
-import {Metadata, credentials} from '@grpc/grpc-js';
+import {credentials} from '@grpc/grpc-js';
 import {ServiceError, createError} from '@sassafrasspan/core';
-import {Result, err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import {
   StreamHandle,
   StreamListener,
@@ -47,7 +47,7 @@
     request: WatchRequest,
     listener: StreamListener<EntryHeartbeat>,
   ): StreamHandle {
-    return followStream(this.client.watch(request), listener);
+    return followStream(() => this.client.watch(request), listener);
   }
 
   fetchRules(
@@ -58,15 +58,13 @@
     );
   }
 
-  forwardStep(call: StepCall): Promise<Result<StepReply, ServiceError>> {
-    const deadline = Date.now() + call.waitMs + FORWARD_MARGIN_MS;
-    return new Promise(resolve => {
-      const metadata = new Metadata();
-      this.client.forwardStep(call, metadata, {deadline}, (error, reply) => {
-        if (error === null) resolve(ok(reply));
-        else resolve(err(createError('no-endpoint', error.message)));
-      });
-    });
+  async forwardStep(call: StepCall): Promise<Result<StepReply, ServiceError>> {
+    const reply = await callUnary<StepReply>(
+      (metadata, options, done) =>
+        this.client.forwardStep(call, metadata, options, done),
+      call.waitMs + FORWARD_MARGIN_MS,
+    );
+    return reply.mapErr(error => createError('no-endpoint', error.detail));
   }
 
   close(): void {
