Enumerate and fuzz runs between entries and agents

The enumeration of message orders (2 attempts, each message delivered up to twice, starts, ends, 2.5 s jumps, one restart; depth 9, 4,537 states) found one more fault: a Run that came again after its trace had expired was refused as stale, which states not-run of work that had run. Such a dispatch is now answered with the outcome unknown.

The fuzz runs the real AgentRuns and RunAttempt over the virtual network.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from './runs/endpoint_driver';
 export * from './runs/expiring_map';
 export * from './runs/quarantine';
+export * from './runs/request_progress';
 export * from './runs/retry_budget';
 export * from './runs/retry_decision';
 export * from './runs/run_table';
--- a/packages/core/src/runs/run_table.ts
+++ b/packages/core/src/runs/run_table.ts
@@ -128,7 +128,7 @@
     if (dispatch.incarnation !== this.options.incarnation) {
       return err(createError('wrong-incarnation', 'the agent has restarted'));
     }
-    const known = this.findKnown(dispatch);
+    const known = this.findKnown(dispatch, guard.tick);
     if (known !== undefined) return ok(known);
     const refusal = this.findRefusal(dispatch, guard) ?? guard.refusal;
     if (refusal !== undefined) {
@@ -141,7 +141,8 @@
     return ok({type: 'new', record});
   }
 
-  private findKnown(dispatch: Dispatch): Admission | undefined {
+  /** Finds what is known of an attempt, or that it may be forgotten. */
+  private findKnown(dispatch: Dispatch, tick: number): Admission | undefined {
     const key = formatRunKey(dispatch.requestId, dispatch.attempt);
     const record = this.records.get(key);
     if (record !== undefined) {
@@ -149,10 +150,15 @@
       record.entries.add(dispatch.entry);
       return {type: 'joined', record};
     }
-    if (!this.traces.has(key)) return undefined;
-    const detail = 'the attempt has run and its answer is gone';
-    const error = createError('agent-lost', detail, {outcome: 'ran'});
-    return {type: 'forgotten', error};
+    const hasTrace = this.traces.has(key);
+    const isForgotten = tick - dispatch.seenTick > ANSWER_KEEP_MS;
+    if (!hasTrace && !isForgotten) return undefined;
+    const detail = 'what became of the attempt is not kept any more';
+    const outcome = hasTrace ? 'ran' : 'unknown';
+    return {
+      type: 'forgotten',
+      error: createError('agent-lost', detail, {outcome}),
+    };
   }
 
   private findRefusal(
--- a/packages/core/src/shared/clock.ts
+++ b/packages/core/src/shared/clock.ts
@@ -17,6 +17,25 @@
   schedule(delayMs: number, task: () => void): () => void;
 }
 
+/** Repeats a task at an interval in ms until the returned function runs. */
+export function repeatTask(
+  scheduler: Scheduler,
+  intervalMs: number,
+  task: () => void,
+): () => void {
+  let isStopped = false;
+  let cancelTimer: () => void;
+  const runTask = () => {
+    task();
+    if (!isStopped) cancelTimer = scheduler.schedule(intervalMs, runTask);
+  };
+  cancelTimer = scheduler.schedule(intervalMs, runTask);
+  return () => {
+    isStopped = true;
+    cancelTimer();
+  };
+}
+
 /** A source of uniform numbers in [0, 1). */
 export type RandomSource = () => number;
 
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -21,6 +21,7 @@
   HttpServer,
   Metrics,
   SYSTEM_CLOCK,
+  SYSTEM_SCHEDULER,
   createEventLog,
   waitMs,
 } from '@sassafrasspan/runtime';
@@ -84,6 +85,7 @@
       units: this.units,
       quarantine: this.quarantine,
       clock: SYSTEM_CLOCK,
+      scheduler: SYSTEM_SCHEDULER,
       log: this.log,
       metrics: this.metrics,
       getRulesRevision: () => this.rules.getRevisionNumber(),
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -14,26 +14,24 @@
   RunSink,
   RunStatus,
   RunTable,
+  Scheduler,
   ServiceError,
   Work,
   createError,
   formatRunKey,
 } from '@sassafrasspan/core';
 import {
-  ALIVE_INTERVAL_MS,
   AcknowledgeRequest,
   MessageWriter,
   ResumeRequest,
-  RunIdentity,
   RunFrame,
   RunRequest,
   decodeWork,
-  encodeFailure,
-  encodeFrame,
   encodeRefusal,
 } from '@sassafrasspan/nodes';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
+import {sendFailure, streamAnswer} from './answer_stream';
 import type {EndpointUnit} from './endpoint_unit';
 
 /** Refusal for each condition in which an endpoint takes no work. */
@@ -50,6 +48,9 @@
   readonly units: ReadonlyMap<string, EndpointUnit>;
   readonly quarantine: Quarantine;
   readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  /** Table to use in place of an empty one. */
+  readonly table?: RunTable;
   readonly log: EventLog;
   readonly metrics: Metrics;
   getRulesRevision(): number;
@@ -68,7 +69,8 @@
   private isDraining = false;
 
   private constructor(private readonly options: AgentRunsOptions) {
-    this.table = RunTable.create({incarnation: options.incarnation});
+    const {incarnation} = options;
+    this.table = options.table ?? RunTable.create({incarnation});
   }
 
   /** Builds the runs of a new life of an agent. */
@@ -269,26 +271,7 @@
     fromOffset: number,
     writer: MessageWriter<RunFrame>,
   ): void {
-    const identity = {requestId: record.dispatch.requestId, attempt};
-    const sendAlive = () => {
-      const tick = this.options.clock.readMonotonicMs();
-      const started = record.state !== 'queued';
-      writer.send({
-        ...identity,
-        frame: {$case: 'alive', value: {tick, started}},
-      });
-    };
-    const timer = setInterval(sendAlive, ALIVE_INTERVAL_MS);
-    const unsubscribe = record.answer.subscribe(fromOffset, frame => {
-      const tick = this.options.clock.readMonotonicMs();
-      const {incarnation} = this.options;
-      writer.send(encodeFrame(identity, frame, {incarnation, tick}));
-      if (frame.type === 'end' || frame.type === 'failed') writer.end();
-    });
-    writer.addCloseListener(() => {
-      clearInterval(timer);
-      unsubscribe();
-    });
+    streamAnswer({...this.options, record, attempt, fromOffset, writer});
   }
 
   /** Makes sure that a dispatch does not start, or tells its state. */
@@ -364,15 +347,3 @@
     );
   }
 }
-
-/** Ends a stream with a failure. */
-function sendFailure(
-  identity: RunIdentity,
-  error: ServiceError,
-  writer: MessageWriter<RunFrame>,
-): void {
-  const {requestId, attempt} = identity;
-  const value = encodeFailure(error);
-  writer.send({requestId, attempt, frame: {$case: 'failed', value}});
-  writer.end();
-}
--- a/packages/server/src/agent/endpoint_unit.ts
+++ b/packages/server/src/agent/endpoint_unit.ts
@@ -49,8 +49,11 @@
   }
 
   /** Builds the unit of an endpoint whose state is not known yet. */
-  static create(settings: EndpointSettings): EndpointUnit {
-    return new EndpointUnit(settings, DRIVERS[settings.kind](settings.url));
+  static create(
+    settings: EndpointSettings,
+    driver: EndpointDriver = DRIVERS[settings.kind](settings.url),
+  ): EndpointUnit {
+    return new EndpointUnit(settings, driver);
   }
 
   /** Reads the endpoint's load once. */
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -8,16 +8,15 @@
   EndpointView,
   ErrorKind,
   FleetView,
-  Outcome,
   Quarantine,
   RandomSource,
+  RequestProgress,
   RetryBudget,
   RouteRequest,
   RuleBook,
   RulesHolder,
   ServiceError,
   Work,
-  canRetry,
   chooseEndpoint,
   createError,
   findHome,
@@ -29,16 +28,6 @@
 import type {NodeDirectory} from './node_directory';
 import {AttemptEnd, RunAttempt} from './run_attempt';
 
-/** Failures that another endpoint would answer in the same way. */
-const FINAL_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
-  'bad-request',
-  'quarantined',
-  'deadline-exceeded',
-  'deadline-unmeetable',
-  'in-progress',
-  'key-forgotten',
-]);
-
 /** Failures after which the next attempt avoids the failure domain. */
 const CRASH_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
   'endpoint-failed',
@@ -86,7 +75,7 @@
   readonly deadlineMs: number;
   readonly excluded: string[];
   avoidDomain: string | undefined;
-  hasBytes: boolean;
+  readonly progress: RequestProgress;
   isCancelled: boolean;
   attempt: RunAttempt | undefined;
 }
@@ -112,7 +101,7 @@
       deadlineMs: startedMs + request.budgetMs,
       excluded: [],
       avoidDomain: undefined,
-      hasBytes: false,
+      progress: RequestProgress.create(request.isIdempotent),
       isCancelled: false,
       attempt: undefined,
     };
@@ -156,19 +145,20 @@
   private async runAttempts(
     state: RequestState,
   ): Promise<ServiceError | undefined> {
-    let outcome: Outcome = 'not-run';
-    for (let number = 1; ; number++) {
+    const {progress} = state;
+    for (;;) {
       const chosen = this.chooseTarget(state);
-      if (chosen.isErr()) return withOutcome(chosen.error, outcome);
+      if (chosen.isErr()) return progress.withOutcome(chosen.error);
+      const number = progress.startAttempt();
       const ended = await this.runAttempt(state, chosen.value, number);
       if (ended.type === 'whole') {
         this.retryBudget.recordSuccess();
         state.sink.finish(ended.end);
         return undefined;
       }
-      if (ended.outcome !== 'not-run') outcome = ended.outcome;
-      const error = withOutcome(ended.error, outcome);
-      if (!this.prepareRetry(state, chosen.value, ended, number)) return error;
+      const canRepeat = this.prepareRetry(state, chosen.value, ended);
+      const error = progress.withOutcome(ended.error);
+      if (!canRepeat) return error;
       const {requestId} = state.request;
       const {kind} = error;
       this.options.metrics.addCount('retries_total', {kind});
@@ -237,11 +227,11 @@
       request: this.createRunRequest(state, target, number),
       sink: {
         setHead: head => {
-          state.hasBytes = true;
+          state.progress.recordBytes();
           state.sink.setHead(head);
         },
         appendChunk: chunk => {
-          state.hasBytes = true;
+          state.progress.recordBytes();
           state.sink.appendChunk(chunk);
         },
       },
@@ -291,31 +281,24 @@
     state: RequestState,
     target: EndpointView,
     ended: Extract<AttemptEnd, {type: 'failed'}>,
-    number: number,
   ): boolean {
-    const {kind} = ended.error;
     const nowMs = this.options.clock.readMonotonicMs();
-    const isAllowed = canRetry({
-      attempt: number,
+    const isAllowed = state.progress.recordFailure({
+      error: ended.error,
       outcome: ended.outcome,
-      isIdempotent: state.request.isIdempotent,
-      hasSentBytes: state.hasBytes && !state.sink.reset(),
-      isRetryable: !FINAL_KINDS.has(kind) && !state.isCancelled,
       budgetLeftMs: state.deadlineMs - nowMs,
+      resetAnswer: () => state.sink.reset(),
     });
-    if (!isAllowed || !this.retryBudget.takeRetry()) return false;
-    state.hasBytes = false;
+    if (!isAllowed || state.isCancelled) return false;
+    if (!this.retryBudget.takeRetry()) return false;
     state.excluded.push(target.name);
-    if (CRASH_KINDS.has(kind)) state.avoidDomain = target.failureDomain;
+    if (CRASH_KINDS.has(ended.error.kind)) {
+      state.avoidDomain = target.failureDomain;
+    }
     return true;
   }
 }
 
-/** A request of which any attempt may have run is not stated as not run. */
-function withOutcome(error: ServiceError, outcome: Outcome): ServiceError {
-  return outcome === 'not-run' ? error : {...error, outcome};
-}
-
 /** Returns the fingerprint of a customer's work. */
 export function computeFingerprint(customer: string, work: Work): string {
   const text =
--- a/packages/server/src/entry/run_attempt.ts
+++ b/packages/server/src/entry/run_attempt.ts
@@ -226,7 +226,7 @@
 
   private applyChunk(chunk: AnswerChunk): StreamEnd | undefined {
     const accepted = this.assembler.acceptChunk(chunk);
-    if (accepted.isErr()) return endFailed(accepted.error, 'unknown');
+    if (accepted.isErr()) return {type: 'lost', reason: accepted.error.detail};
     if (accepted.value !== undefined) {
       this.resumes = 0;
       this.options.sink.appendChunk(accepted.value);
@@ -236,7 +236,7 @@
 
   private applyEnd(end: AnswerEnd): StreamEnd {
     const accepted = this.assembler.acceptEnd(end);
-    if (accepted.isErr()) return endFailed(accepted.error, 'unknown');
+    if (accepted.isErr()) return {type: 'lost', reason: accepted.error.detail};
     return {type: 'ended', result: {type: 'whole', end: accepted.value}};
   }
 
--- /dev/null
+++ b/packages/server/src/testing/world_driver.ts
@@ -0,0 +1,135 @@
+/**
+ * An endpoint of a test world: runs requests over virtual time and keeps the
+ * truth of what it executed.
+ */
+import {
+  EndpointDriver,
+  EndpointRun,
+  RandomSource,
+  RunFailure,
+  RunHandle,
+  RunSink,
+  createError,
+} from '@sassafrasspan/core';
+import type {VirtualNetwork} from '@sassafrasspan/core/testing';
+import {ok} from 'neverthrow';
+
+const MAX_PIECES = 6;
+const MAX_PIECE_DELAY_MS = 400;
+const REFUSAL_SHARE = 0.1;
+const EARLY_END_SHARE = 0.1;
+const CRASH_SHARE = 0.05;
+
+/** One execution of a request: the text that it was to produce. */
+export interface Execution {
+  readonly requestId: string;
+  readonly text: string;
+}
+
+/** What a driver is built from. */
+export interface WorldDriverOptions {
+  readonly network: VirtualNetwork;
+  readonly random: RandomSource;
+  readonly executions: Execution[];
+  /** Runs a task of the agent before the endpoint, while that lives. */
+  runAtAgent(task: () => void): void;
+}
+
+/** Builds the driver of an endpoint. */
+export function createWorldDriver(options: WorldDriverOptions): EndpointDriver {
+  return {
+    startRun: (run, sink) => startExecution(options, run, sink),
+    readLoad: async () =>
+      ok({
+        running: 0,
+        waiting: 0,
+        kvUsePermille: 0,
+        weightVersion: 1,
+        tokensPerSecond: 0,
+      }),
+    sendOrder: async () => ok(undefined),
+  };
+}
+
+function startExecution(
+  options: WorldDriverOptions,
+  run: EndpointRun,
+  sink: RunSink,
+): RunHandle {
+  const {network, random, executions} = options;
+  let isOver = false;
+  const endWith = (finish: () => void) => {
+    options.runAtAgent(() => {
+      if (isOver) return;
+      isOver = true;
+      finish();
+    });
+  };
+  if (random() < REFUSAL_SHARE) {
+    network.schedule(1, () => endWith(() => sink.fail(createRefusal())));
+    return {cancel: () => undefined};
+  }
+  const pieces = createPieces(run.requestId, executions.length, random);
+  executions.push({requestId: run.requestId, text: pieces.join('')});
+  const ending = chooseEnding(random);
+  const shown = ending === undefined ? pieces : pieces.slice(0, -1);
+  let delayMs = 0;
+  for (const [index, piece] of shown.entries()) {
+    delayMs += 1 + random() * MAX_PIECE_DELAY_MS;
+    network.schedule(delayMs, () =>
+      options.runAtAgent(() => {
+        if (isOver) return;
+        if (index === 0) sink.setHead({status: 200, headers: []});
+        sink.appendData(new TextEncoder().encode(piece), 1, 1);
+      }),
+    );
+  }
+  network.schedule(delayMs + 1, () =>
+    endWith(() => {
+      if (ending === undefined) sink.finish(REPORT);
+      else sink.fail(ending);
+    }),
+  );
+  return {cancel: () => endWith(() => sink.fail(CANCELLED))};
+}
+
+const REPORT = {
+  finishReason: 'stop',
+  promptTokens: 1,
+  completionTokens: 1,
+  cachedTokens: 0,
+};
+
+const CANCELLED: RunFailure = {
+  error: createError('endpoint-failed', 'cancelled'),
+  isCrash: false,
+};
+
+function createRefusal(): RunFailure {
+  return {error: createError('endpoint-refused', 'busy'), isCrash: false};
+}
+
+function chooseEnding(random: RandomSource): RunFailure | undefined {
+  const draw = random();
+  if (draw < EARLY_END_SHARE) {
+    const error = createError('answer-incomplete', 'closed early');
+    return {error, isCrash: false};
+  }
+  if (draw < EARLY_END_SHARE + CRASH_SHARE) {
+    return {error: createError('endpoint-failed', 'reset'), isCrash: true};
+  }
+  return undefined;
+}
+
+/** Pieces of a text that no other execution produces. */
+function createPieces(
+  requestId: string,
+  number: number,
+  random: RandomSource,
+): string[] {
+  const count = 1 + Math.floor(random() * MAX_PIECES);
+  return Array.from({length: count}, (_unused, index) => {
+    const filler = '.'.repeat(Math.floor(random() * 8));
+    return `${requestId}/${number}/${index}${filler}`;
+  });
+}
