--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -22,6 +22,8 @@
   readonly failureDomain: string;
   /** Options of the stand-in. */
   readonly options?: Readonly<Record<string, unknown>>;
+  /** Settings of the agent beyond those of every agent. */
+  readonly agent?: Readonly<Record<string, unknown>>;
 }
 
 /** One entry. */
@@ -156,7 +158,7 @@
     const standin = this.endpoints.get(plan.name);
     const options = plan.options ?? {};
     const node = await this.startNode('agent', name, plan.failureDomain, {
-      weightStoreUrl: this.weights.url,
+      weightStore: {url: this.weights.url, fetchesPerSecond: 1_000},
       endpoints: [
         {
           name: plan.name,
@@ -167,6 +169,7 @@
           fencing: options.fencing ?? 'checks',
         },
       ],
+      ...plan.agent,
     });
     this.agents.set(name, node);
     return node;
@@ -200,6 +203,7 @@
       operators: readAddress(known?.operatorsUrl),
       platform: {objectsUrl: platformUrl, vmsUrl: platformUrl},
       log: {level: this.plan.logLevel ?? 'info'},
+      seeds: this.describeNodes().filter(node => node.name !== name),
       ...fields,
     };
     const settingsFile = path.join(this.folder, `${name}.yaml`);
@@ -239,19 +243,30 @@
   }
 
   /** Writes the platform's VM list; the named VMs are leaving. */
-  async publishVms(leaving: readonly string[]): Promise<void> {
+  async publishVms(
+    leaving: readonly string[],
+    missing: readonly string[] = [],
+  ): Promise<void> {
+    const vms = this.describeNodes()
+      .filter(node => !missing.includes(node.name))
+      .map(node => ({
+        ...node,
+        state: leaving.includes(node.name) ? 'leaving' : 'live',
+      }));
+    await sendAdmin(`${this.platform.url}/admin/vms`, 'PUT', {vms});
+  }
+
+  private describeNodes() {
     const describeNode = (role: string) => (node: StartedNode) => ({
       name: node.name,
       role,
       failureDomain: node.failureDomain,
       address: this.peerRelays.get(node.name)?.getAddress() ?? node.peers,
-      state: leaving.includes(node.name) ? 'leaving' : 'live',
     });
-    const vms = [
+    return [
       ...[...this.entries.values()].map(describeNode('entry')),
       ...[...this.agents.values()].map(describeNode('agent')),
     ];
-    await sendAdmin(`${this.platform.url}/admin/vms`, 'PUT', {vms});
   }
 
   /** Sets faults of a stand-in. */
--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -13,13 +13,17 @@
   AgentHeartbeat,
   AgentNodeClient,
   FetchRulesReply,
+  FetchWeightsRequest,
   KeptAnswer,
+  OfferRulesReply,
+  OfferRulesRequest,
   ResumeRequest,
   RevokeReply,
   RevokeRequest,
   RunFrame,
   RunRequest,
   WatchRequest,
+  WeightsChunk,
 } from './generated/nodes';
 
 /** Interval between `Alive` frames of an idle run. */
@@ -60,6 +64,13 @@
   acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void;
   listAnswers(prefix: string): Promise<Result<KeptAnswer[], ServiceError>>;
   fetchRules(newerThan: number): Promise<Result<FetchRulesReply, ServiceError>>;
+  /** Fetches one block of weights that the agent keeps. */
+  fetchWeights(
+    request: FetchWeightsRequest,
+  ): Promise<Result<WeightsChunk, ServiceError>>;
+  offerRules(
+    request: OfferRulesRequest,
+  ): Promise<Result<OfferRulesReply, ServiceError>>;
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
@@ -142,6 +153,26 @@
     );
   }
 
+  fetchWeights(
+    request: FetchWeightsRequest,
+  ): Promise<Result<WeightsChunk, ServiceError>> {
+    return new Promise(resolve => {
+      const missing = createError('not-found', 'the agent has no such weights');
+      followStream(this.client.fetchWeights(request), {
+        receiveMessage: chunk => resolve(ok(chunk)),
+        handleLoss: () => resolve(err(missing)),
+      });
+    });
+  }
+
+  offerRules(
+    request: OfferRulesRequest,
+  ): Promise<Result<OfferRulesReply, ServiceError>> {
+    return callUnary<OfferRulesReply>((metadata, options, done) =>
+      this.client.offerRules(request, metadata, options, done),
+    );
+  }
+
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
--- a/packages/server/src/agent/endpoint_unit.ts
+++ b/packages/server/src/agent/endpoint_unit.ts
@@ -51,7 +51,7 @@
   /** Builds the unit of an endpoint whose state is not known yet. */
   static create(
     settings: EndpointSettings,
-    driver: EndpointDriver = DRIVERS[settings.kind](settings.url),
+    driver = DRIVERS[settings.kind](settings.url),
   ): EndpointUnit {
     return new EndpointUnit(settings, driver);
   }
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -52,8 +52,18 @@
   readonly budgetMs: number;
   /** 0 is served first. */
   readonly priority: number;
+  /** Oldest weight version that may run the work; without it any. */
+  readonly minVersion?: number;
+  /**
+   * Takes the name of the agent that keeps the whole answer until it is
+   * acknowledged; without it the answer is acknowledged at its end.
+   */
+  readonly keepAnswer?: (agent: string) => void;
 }
 
+/** Attempts that may end because agent and entry held other rules. */
+const MAX_RULES_RETRIES = 3;
+
 /** What a dispatcher is built from. */
 export interface DispatcherOptions {
   readonly entry: string;
@@ -152,10 +162,15 @@
       const number = progress.startAttempt();
       const ended = await this.runAttempt(state, chosen.value, number);
       if (ended.type === 'whole') {
+        state.request.keepAnswer?.(chosen.value.agent);
         this.retryBudget.recordSuccess();
         state.sink.finish(ended.end);
         return undefined;
       }
+      if (ended.error.kind === 'stale-rules' && number <= MAX_RULES_RETRIES) {
+        await this.options.directory.reconcileRules(chosen.value.agent);
+        continue;
+      }
       const canRepeat = this.prepareRetry(state, chosen.value, ended);
       const error = progress.withOutcome(ended.error);
       if (!canRepeat) return error;
@@ -188,7 +203,9 @@
       excluded: state.excluded,
       avoidDomain: state.avoidDomain,
     };
-    const serving = this.options.fleet.listServing(request.service, nowMs);
+    const serving = this.options.fleet
+      .listServing(request.service, nowMs)
+      .filter(item => item.weightVersion >= (request.minVersion ?? 0));
     const {random} = this.options;
     const chosen = chooseEndpoint(route, serving, random);
     if (chosen.isOk() || state.avoidDomain === undefined) return chosen;
@@ -225,6 +242,7 @@
     const attempt = RunAttempt.create({
       agent,
       request: this.createRunRequest(state, target, number),
+      keepsAnswer: state.request.keepAnswer !== undefined,
       sink: {
         setHead: head => {
           state.progress.recordBytes();
@@ -269,7 +287,7 @@
       idempotencyKey: request.idempotencyKey,
       fingerprint: request.fingerprint,
       expectedTokens: request.expectedTokens,
-      minVersion: 0,
+      minVersion: request.minVersion ?? 0,
       entry: this.options.entry,
       prefixKey: request.prefixKey,
       work: encodeWork(request.work),
--- a/packages/server/src/entry/run_attempt.ts
+++ b/packages/server/src/entry/run_attempt.ts
@@ -57,6 +57,8 @@
 export interface RunAttemptOptions {
   readonly agent: AgentPeer;
   readonly request: RunRequest;
+  /** Whether a whole answer stays at the agent until acknowledged. */
+  readonly keepsAnswer: boolean;
   readonly sink: AttemptSink;
   readonly scheduler: Scheduler;
   /** Called when the answer continues over a new connection. */
@@ -109,7 +111,8 @@
         agent.resumeRun(this.createResume(), listener),
       );
     }
-    this.acknowledge(ended.result.type !== 'whole');
+    const isWhole = ended.result.type === 'whole';
+    if (!isWhole || !this.options.keepsAnswer) this.acknowledge(!isWhole);
     return ended.result;
   }
 
--- a/packages/server/src/testing/run_world.ts
+++ b/packages/server/src/testing/run_world.ts
@@ -256,6 +256,7 @@
           appendPart(chunk.data);
         },
       },
+      keepsAnswer: false,
       onResume: () => undefined,
     });
     this.attempts.set(requestId, attempt);
