Report the burn of every promise

Entries count good and bad events where callers and trainers meet them, in bounded rings aligned to the wall clock; report burn adds the entries up and sets the sums against the error budget over 5 min, 1 h, 6 h and 3 d. Kinds that are enforced rather than counted are listed as such. Failures that the caller brought about break no promise.

--- a/packages/harness/src/reading_back.test.ts
+++ b/packages/harness/src/reading_back.test.ts
@@ -24,6 +24,8 @@
   - {id: key, kind: api-key, customer: kyklos, sha256: ${hashCustomerKey('kyklos')}}  # onboarding
   - {id: lm, kind: pool, service: briefing-lm, type: engine, endpoints: [lm-1]}  # platform team
   - {id: app, kind: pool, service: booking-app, type: plain, endpoints: [app-1]}  # platform team
+  - {id: whole-hour, kind: latency, customer: kyklos, service: briefing-lm, percentile: 99, withinMs: 3600000}  # venue sales
+  - {id: one-ms, kind: latency, customer: kyklos, service: briefing-lm, percentile: 98, withinMs: 1}  # nobody in earnest
 `,
 };
 
@@ -86,6 +88,18 @@
   expect(missing).toMatchSnapshot();
 });
 
+test('report burn tells kept promises from broken ones', async () => {
+  const {callersUrl} = system.getEntry('entry-a');
+  const body = {model: 'briefing-lm', prompt: 'Brief', max_tokens: 40};
+  await callCompletion(callersUrl, 'kyklos', body);
+  const shown = await runCommand('report', 'burn', ...sources);
+  expect(shown.stderr).toBe('');
+  expect(shown.code).toBe(1);
+  expect(shown.stdout).toMatch(/^whole-hour +kept .*venue sales$/m);
+  expect(shown.stdout).toMatch(/^one-ms +broken +urgent .*nobody in earnest$/m);
+  expect(shown.stdout).toMatch(/^kyklos briefing-lm +2 /m);
+});
+
 test('drain takes an endpoint out, and status says why', async () => {
   const drained = await runCommand('drain', 'app-1', '--wait', ...sources);
   expect(drained).toMatchSnapshot();
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -1,4 +1,7 @@
 /** Rules file and what operators read back. */
+export * from './burn_page';
+export * from './burn_report';
+export * from './burn_text';
 export * from './explain_report';
 export * from './node_pages';
 export * from './rules_report';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,6 +2,7 @@
 export * from './clock';
 export * from './decision_log';
 export * from './http_server';
+export * from './latency_histograms';
 export * from './log';
 export * from './metrics';
 export * from './settings';
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {createCallerRoutes} from '@sassafrasspan/callers';
 import {
+  BurnBook,
   FleetView,
   HEARTBEAT_INTERVAL_MS,
   Quarantine,
@@ -13,6 +14,7 @@
   DEFAULT_HTTP_LIMITS,
   DecisionLog,
   HttpServer,
+  LatencyHistograms,
   ListenAddress,
   Metrics,
   SYSTEM_CLOCK,
@@ -27,6 +29,7 @@
 import type {EntrySettings} from '../shared/settings_schemas';
 import {Dispatcher} from './dispatcher';
 import {EntryCallers} from './entry_callers';
+import {MeasuredBackends} from './measured_backends';
 import {NodeDirectory} from './node_directory';
 import {createMissingScoring} from './step_runner';
 import {StepService} from './step_service';
@@ -50,6 +53,15 @@
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
   private readonly fleet = FleetView.create();
+  private readonly burn = BurnBook.create(() => this.rules.getBook());
+  private readonly latencies = LatencyHistograms.create();
+  private readonly measured = MeasuredBackends.create({
+    burn: this.burn,
+    latencies: this.latencies,
+    rules: this.rules,
+    fleet: this.fleet,
+    clock: SYSTEM_CLOCK,
+  });
   private readonly store: ObjectClient;
   private readonly feed: RulesFeed;
   private readonly directory: NodeDirectory;
@@ -103,8 +115,14 @@
     });
     this.callersServer = HttpServer.create(
       [
-        ...createCallerRoutes(this.callers, settings.limits),
-        ...createTrainerRoutes(this.createTrainerBackend(), settings.limits),
+        ...createCallerRoutes(
+          this.measured.measureCallers(this.callers),
+          settings.limits,
+        ),
+        ...createTrainerRoutes(
+          this.measured.measureTrainers(this.createTrainerBackend()),
+          settings.limits,
+        ),
       ],
       settings.limits,
     );
@@ -115,6 +133,10 @@
         decisions: this.log,
         isReady: () => this.isReady(),
         describeStatus: () => this.describeStatus(),
+        describeBurn: () => ({
+          promises: this.burn.listPromises(SYSTEM_CLOCK.readWallMs()),
+          latencies: this.latencies.encodeAll(),
+        }),
       }),
       DEFAULT_HTTP_LIMITS,
     );
@@ -137,6 +159,7 @@
     void this.directory.refresh();
     this.addTimer(VM_LIST_INTERVAL_MS, () => void this.directory.refresh());
     this.addTimer(STEP_INTERVAL_MS, () => this.steps.advance());
+    this.addTimer(STEP_INTERVAL_MS, () => this.measured.advance());
     this.log.writeEvent('process-started', {
       incarnation: this.incarnation,
       callers: `${callers.host}:${callers.port}`,
--- a/packages/server/src/main.ts
+++ b/packages/server/src/main.ts
@@ -11,6 +11,7 @@
 import {DRAIN_COMMAND} from './commands/drain_command';
 import {EXPLAIN_COMMAND} from './commands/explain_command';
 import {EXIT_USAGE} from './commands/output';
+import {REPORT_COMMAND} from './commands/report_command';
 import {RULES_COMMAND} from './commands/rules_commands';
 import {runAgent, runEntry} from './commands/run_node';
 import {STATUS_COMMAND} from './commands/status_command';
@@ -49,6 +50,7 @@
       config: CONFIG_COMMAND,
       rules: RULES_COMMAND,
       status: STATUS_COMMAND,
+      report: REPORT_COMMAND,
       explain: EXPLAIN_COMMAND,
       drain: DRAIN_COMMAND,
     },
--- a/packages/server/src/shared/operators_routes.ts
+++ b/packages/server/src/shared/operators_routes.ts
@@ -21,6 +21,8 @@
   isReady(): boolean;
   /** Describes the state of the process as JSON data. */
   describeStatus(): object;
+  /** Describes the events of promises, where the process counts them. */
+  describeBurn?(): object;
 }
 
 /** Builds the routes that every node has. */
@@ -60,6 +62,14 @@
         sendJson(response, 200, status);
       },
     },
+    {
+      method: 'GET',
+      path: '/burn',
+      handler: ({response}) => {
+        const counted = backend.describeBurn?.() ?? {promises: []};
+        sendJson(response, 200, {node: backend.node, ...counted});
+      },
+    },
     {
       method: 'GET',
       path: '/explain/:request',
