Answer every limit towards callers with its error kind

A body over the limit broke the connection before the sender could read the 413: reading by for-await destroys the request. The rest of such a body is now read and dropped. Errors of Node's parser (431, 408, 400) carry kind, outcome and retry-after like all others; the number of open requests is checked where requests arrive, so that slow senders and pulls count and the entry's own rollout work does not. A call whose caller has gone before its dispatch is not dispatched.

--- a/packages/callers/src/caller_routes.ts
+++ b/packages/callers/src/caller_routes.ts
@@ -166,6 +166,7 @@
   call: CallerRequest,
   sink: AnswerSink,
 ): void {
+  if (exchange.response.destroyed) return;
   exchange.response.setHeader('x-request-id', call.requestId);
   const handle = backend.dispatch(call, sink);
   exchange.response.on('close', () => {
--- a/packages/engines/src/completion_stream.ts
+++ b/packages/engines/src/completion_stream.ts
@@ -46,7 +46,7 @@
       return this.sink.finish(this.report);
     }
     const error = createError('answer-incomplete', 'the engine closed early');
-    this.sink.fail({error, isCrash: true});
+    this.sink.fail({error, isCrash: false});
   }
 
   private acceptEvent(data: string): void {
--- a/packages/harness/src/reading_back.test.ts
+++ b/packages/harness/src/reading_back.test.ts
@@ -39,12 +39,21 @@
     ...['--objects', system.platform.url, '--vms', system.platform.url],
     ...nodes.flatMap(node => ['--node', node.operatorsUrl]),
   ];
+  await waitUntilInForce();
 });
 
 afterAll(async () => {
   await system.close();
 });
 
+/** Waits until no node is behind the newest accepted revision. */
+function waitUntilInForce(): Promise<void> {
+  return waitUntil('the newest revision everywhere', async () => {
+    const {stdout} = await runCommand('rules', 'show', '--brief', ...sources);
+    return stdout.includes('in force') && !stdout.includes('behind');
+  });
+}
+
 /** Replaces what differs from run to run. */
 function replaceTimes(text: string): string {
   return text
@@ -62,10 +71,7 @@
 test('rules history lists revisions, newest first', async () => {
   const revision = await system.applyRules(`${PLAN.rules}# reviewed\n`);
   expect(revision).toBe(2);
-  await waitUntil('revision 2 everywhere', async () => {
-    const {stdout} = await runCommand('rules', 'show', '--brief', ...sources);
-    return !stdout.includes('behind');
-  });
+  await waitUntilInForce();
   const shown = await runCommand('rules', 'history', ...sources);
   expect({...shown, stdout: replaceTimes(shown.stdout)}).toMatchSnapshot();
 });
--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -15,6 +15,8 @@
   FetchRulesReply,
   FetchWeightsRequest,
   KeptAnswer,
+  OfferRulesReply,
+  OfferRulesRequest,
   ResumeRequest,
   RevokeReply,
   RevokeRequest,
@@ -42,6 +44,12 @@
   cancel(): void;
 }
 
+/** An attempt as one entry follows it. */
+export interface RunOfEntry {
+  readonly attempt: number;
+  readonly entry: string;
+}
+
 /** What an entry can ask of an agent. */
 export interface AgentPeer {
   startRun(
@@ -53,13 +61,16 @@
     listener: StreamListener<RunFrame>,
   ): StreamHandle;
   revokeRun(request: RevokeRequest): Promise<Result<RevokeReply, ServiceError>>;
-  acknowledgeRun(requestId: string, cancel: boolean): void;
+  acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void;
   listAnswers(prefix: string): Promise<Result<KeptAnswer[], ServiceError>>;
   fetchRules(newerThan: number): Promise<Result<FetchRulesReply, ServiceError>>;
   /** Fetches one block of weights that the agent keeps. */
   fetchWeights(
     request: FetchWeightsRequest,
   ): Promise<Result<WeightsChunk, ServiceError>>;
+  offerRules(
+    request: OfferRulesRequest,
+  ): Promise<Result<OfferRulesReply, ServiceError>>;
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
@@ -117,9 +128,9 @@
     return reply;
   }
 
-  acknowledgeRun(requestId: string, cancel: boolean): void {
+  acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void {
     const deadline = Date.now() + UNARY_TIMEOUT_MS;
-    const request = {requestId, cancel};
+    const request = {requestId, cancel, ...run};
     const options = {deadline};
     this.client.acknowledge(request, new Metadata(), options, () => undefined);
   }
@@ -154,6 +165,14 @@
     });
   }
 
+  offerRules(
+    request: OfferRulesRequest,
+  ): Promise<Result<OfferRulesReply, ServiceError>> {
+    return callUnary<OfferRulesReply>((metadata, options, done) =>
+      this.client.offerRules(request, metadata, options, done),
+    );
+  }
+
   watch(
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -6,6 +6,7 @@
 export * from './node_server';
 export {
   RunState as WireRunState,
+  type AcknowledgeRequest,
   type AgentHeartbeat,
   type EndpointState,
   type EntryHeartbeat,
@@ -13,6 +14,8 @@
   type FetchRulesRequest,
   type FetchWeightsRequest,
   type KeptAnswer,
+  type OfferRulesReply,
+  type OfferRulesRequest,
   type ResumeRequest,
   type RevokeReply,
   type RevokeRequest,
--- a/packages/runtime/src/http_server.ts
+++ b/packages/runtime/src/http_server.ts
@@ -4,8 +4,10 @@
  */
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {ServiceError, createError, getErrorAnswer} from '@sassafrasspan/core';
+import type {Duplex} from 'node:stream';
+import {ErrorKind, ServiceError, createError} from '@sassafrasspan/core';
 import {Result, err, ok} from 'neverthrow';
+import {formatErrorReply, formatRawError} from './http_errors';
 import {describeError} from './settings';
 
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
@@ -13,7 +15,16 @@
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
 const DEFAULT_REQUEST_TIMEOUT_MS = 30_000;
 const KEEP_ALIVE_TIMEOUT_MS = 5_000;
-const MS_PER_SECOND = 1_000;
+/** How late a slow sender may be noticed. */
+const TIMEOUT_CHECK_MS = 100;
+/** Time for a client to read an error before its connection is broken. */
+const LINGER_MS = 2_000;
+
+/** Error kind of each code that Node's parser raises. */
+const PARSER_KINDS: Readonly<Record<string, ErrorKind>> = {
+  HPE_HEADER_OVERFLOW: 'headers-too-large',
+  ERR_HTTP_REQUEST_TIMEOUT: 'slow-sender',
+};
 
 /** A request with its URL taken apart. */
 export interface HttpExchange {
@@ -41,6 +52,8 @@
   readonly maxBodyBytes: number;
   readonly headersTimeoutMs: number;
   readonly requestTimeoutMs: number;
+  /** Requests that may be open at once; undefined for any number. */
+  readonly maxOpenRequests?: number;
 }
 
 /** Limits that hold where settings name none. */
@@ -60,9 +73,13 @@
 
 /** A listening HTTP server. */
 export class HttpServer {
+  private readonly responses = new WeakMap<Duplex, ServerResponse>();
+  private openRequests = 0;
+
   private constructor(
     private readonly server: Server,
     private readonly routes: readonly Route[],
+    private readonly limits: HttpLimits,
   ) {}
 
   /** Builds a server for a table of routes. */
@@ -72,12 +89,15 @@
       headersTimeout: limits.headersTimeoutMs,
       requestTimeout: limits.requestTimeoutMs,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      connectionsCheckingInterval: MS_PER_SECOND,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     });
-    const created = new HttpServer(server, routes);
+    const created = new HttpServer(server, routes, limits);
     server.on('request', (request, response) => {
       void created.handleRequest(request, response);
     });
+    server.on('clientError', (error: ClientError, socket) => {
+      created.answerClientError(error, socket);
+    });
     return created;
   }
 
@@ -85,7 +105,43 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const url = new URL(request.url ?? '/', 'http://localhost');
+    this.responses.set(request.socket, response);
+    response.once('close', () => {
+      if (request.complete) this.responses.delete(request.socket);
+    });
+    const {maxOpenRequests} = this.limits;
+    if (maxOpenRequests !== undefined && this.openRequests >= maxOpenRequests) {
+      const detail = `${maxOpenRequests} requests are open`;
+      return sendError(response, createError('too-many-open', detail));
+    }
+    this.openRequests += 1;
+    response.once('close', () => {
+      this.openRequests -= 1;
+    });
+    return this.routeRequest(request, response);
+  }
+
+  /** Answers what Node's parser refuses, unless an answer has begun. */
+  private answerClientError(error: ClientError, socket: Duplex): void {
+    const hasAnswer = this.responses.get(socket)?.headersSent === true;
+    if (hasAnswer || !socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const kind = PARSER_KINDS[error.code ?? ''] ?? 'bad-request';
+    socket.end(formatRawError(createError(kind, error.message)));
+    setTimeout(() => socket.destroy(), LINGER_MS).unref();
+  }
+
+  private async routeRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = parseUrl(request.url ?? '/');
+    if (url === undefined) {
+      const detail = 'the request target is not a path';
+      return sendError(response, createError('bad-request', detail));
+    }
     for (const route of this.routes) {
       const params = matchRoute(route, request.method ?? 'GET', url.pathname);
       if (params === undefined) continue;
@@ -120,6 +176,15 @@
   }
 }
 
+/** An error of Node's HTTP parser. */
+type ClientError = Error & {readonly code?: string};
+
+function parseUrl(target: string): URL | undefined {
+  return URL.canParse(target, 'http://localhost')
+    ? new URL(target, 'http://localhost')
+    : undefined;
+}
+
 async function runHandler(
   handler: HttpHandler,
   exchange: HttpExchange,
@@ -163,27 +228,33 @@
   }
 }
 
-/** Reads a whole body up to a limit in bytes. */
-export async function readBody(
+/**
+ * Reads a whole body up to a limit in bytes. What is over the limit is read
+ * and dropped, so that the sender can read its answer.
+ */
+export function readBody(
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Result<Buffer, ServiceError>> {
   const chunks: Buffer[] = [];
   let length = 0;
-  try {
-    for await (const chunk of request) {
-      const data = chunk as Buffer;
-      length += data.length;
-      if (length > maxBytes) {
-        const detail = `the body is over ${maxBytes} bytes`;
-        return err(createError('body-too-large', detail));
-      }
-      chunks.push(data);
-    }
-  } catch (error) {
-    return err(createError('slow-sender', describeError(error)));
-  }
-  return ok(Buffer.concat(chunks));
+  return new Promise(resolve => {
+    const fail = (kind: ErrorKind, detail: string) =>
+      resolve(err(createError(kind, detail)));
+    const refuseSize = () => {
+      chunks.length = 0;
+      fail('body-too-large', `the body is over ${maxBytes} bytes`);
+    };
+    if (Number(request.headers['content-length'] ?? 0) > maxBytes) refuseSize();
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length > maxBytes) refuseSize();
+      else chunks.push(chunk);
+    });
+    request.on('end', () => resolve(ok(Buffer.concat(chunks))));
+    request.on('error', error => fail('slow-sender', error.message));
+    request.on('close', () => fail('slow-sender', 'the sender went away'));
+  });
 }
 
 /** Reads a JSON body up to a limit in bytes. */
@@ -234,21 +305,7 @@
     response.destroy();
     return;
   }
-  const answer = getErrorAnswer(error);
-  response.setHeader('x-outcome', answer.outcome);
-  response.setHeader('x-error-kind', error.kind);
-  if (answer.retryAfterMs > 0) {
-    const seconds = Math.ceil(answer.retryAfterMs / MS_PER_SECOND);
-    response.setHeader('retry-after', String(seconds));
-    response.setHeader('retry-after-ms', String(answer.retryAfterMs));
-  }
-  sendJson(response, answer.status, {
-    error: {
-      kind: error.kind,
-      message: answer.summary,
-      detail: error.detail,
-      outcome: answer.outcome,
-      retryAfterMs: answer.retryAfterMs,
-    },
-  });
+  const {status, headers, body} = formatErrorReply(error);
+  response.writeHead(status, {...headers});
+  response.end(body);
 }
--- a/packages/runtime/src/latency_histograms.ts
+++ b/packages/runtime/src/latency_histograms.ts
@@ -6,7 +6,8 @@
   encodeIntoCompressedBase64,
 } from 'hdr-histogram-js';
 
-const HIGHEST_VALUE_MS = 3_600_000;
+/** Longest time that a histogram tells apart, in ms. */
+export const HIGHEST_VALUE_MS = 3_600_000;
 const SIGNIFICANT_DIGITS = 2;
 
 /** Percentiles of a latency in ms. */
