--- a/packages/harness/src/thin_path.test.ts
+++ b/packages/harness/src/thin_path.test.ts
@@ -5,7 +5,8 @@
 import {TestTrainer, callCompletion, callEntry} from './clients';
 import {DEMO_PLAN, formatDemoRules} from './demo_plan';
 import {fetchStatus, waitUntil} from './node_status';
-import {TestSystem} from './system';
+import {runCommand} from './run_command';
+import {TestSystem, createApiKey} from './system';
 
 const STEP = {
   prompts: [
@@ -101,3 +102,19 @@
   }
   expect(revision).toBe(2);
 });
+
+test('the load command counts whole steps and answered calls', async () => {
+  const ran = await runCommand(
+    'load',
+    ...urls.flatMap(url => ['--entry', url]),
+    ...['--key', createApiKey('kyklos'), '--trainer', 'briefs'],
+    ...['--model', 'briefing-lm', '--call', 'booking-app/shifts'],
+    ...['--seconds', '2', '--rate', '20', '--steps', '2', '--groups', '2'],
+    ...['--version', '1', '--train-ms', '50', '--publish', '--seed', '7'],
+  );
+  expect(ran.stderr).toBe('');
+  expect(ran.code).toBe(0);
+  expect(ran.stdout).toMatch(/^seed 7, 42 calls planned$/m);
+  expect(ran.stdout).toMatch(/^42 calls answered; refused or failed: none$/m);
+  expect(ran.stdout).toMatch(/^briefs +2 whole, 0 given up +16 +0 /m);
+});
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -3,6 +3,7 @@
 export * from './burn_report';
 export * from './burn_text';
 export * from './explain_report';
+export * from './load';
 export * from './node_pages';
 export * from './rules_report';
 export * from './rules_text';
--- /dev/null
+++ b/packages/server/src/commands/load_command.ts
@@ -0,0 +1,107 @@
+/** The `load` command: drives callers and trainers against entries. */
+import {
+  TrainerLoad,
+  formatLoad,
+  planCalls,
+  runCallers,
+  runTrainer,
+} from '@sassafrasspan/operators';
+import {
+  array,
+  command,
+  flag,
+  multioption,
+  number,
+  option,
+  string,
+} from 'cmd-ts';
+import {EXIT_FAILED, EXIT_USAGE, printFailure, printLine} from './output';
+
+const MS_PER_SECOND = 1_000;
+const STEP_TIMEOUT_MS = 120_000;
+
+/** Builds an option for a number with a default. */
+function createNumberOption(long: string, value: number, description: string) {
+  return option({
+    type: number,
+    long,
+    defaultValue: () => value,
+    defaultValueIsSerializable: true,
+    description,
+  });
+}
+
+/** Builds an option that may be repeated. */
+function createListOption(long: string, description: string) {
+  return multioption({type: array(string), long, description});
+}
+
+/** The `load` command. */
+export const LOAD_COMMAND = command({
+  name: 'load',
+  description:
+    'Drive callers and trainers against entries; print latency percentiles, ' +
+    'refusals by kind, idle time of trainers and age of samples. Equal seeds ' +
+    'make equal calls. Exits with 1 when a step stays unfinished or a sample ' +
+    'comes twice.',
+  args: {
+    entries: createListOption('entry', "URL of an entry's callers' port"),
+    key: option({type: string, long: 'key', description: 'API key'}),
+    models: createListOption('model', 'service to ask for completions'),
+    paths: createListOption('call', 'plain call, as SERVICE/PATH'),
+    trainers: createListOption('trainer', 'trainer that runs steps'),
+    seed: createNumberOption('seed', 1, 'seed of the calls'),
+    rate: createNumberOption('rate', 10, 'calls a second'),
+    seconds: createNumberOption('seconds', 10, 'time of the calls'),
+    maxTokens: createNumberOption('max-tokens', 60, 'tokens of a completion'),
+    steps: createNumberOption('steps', 2, 'steps of each trainer'),
+    groups: createNumberOption('groups', 8, 'prompts of a step'),
+    groupSize: createNumberOption('group-size', 4, 'samples of a prompt'),
+    trainMs: createNumberOption('train-ms', 500, 'training after a step'),
+    bound: createNumberOption('staleness-bound', 1, 'staleness bound'),
+    firstVersion: createNumberOption('version', 0, 'first weight version'),
+    scoring: option({
+      type: string,
+      long: 'scoring',
+      defaultValue: () => 'score',
+      defaultValueIsSerializable: true,
+      description: 'scoring service of the steps',
+    }),
+    publish: flag({
+      long: 'publish',
+      description: 'publish a version after each step: engines swap weights',
+    }),
+  },
+  handler: async args => {
+    if (args.entries.length === 0) {
+      return printFailure('expected --entry URL', EXIT_USAGE);
+    }
+    const target = {entryUrls: args.entries, apiKey: args.key};
+    const plan = planCalls({
+      perSecond: args.rate,
+      durationMs: args.seconds * MS_PER_SECOND,
+      models: args.models,
+      paths: args.paths,
+      maxTokens: args.maxTokens,
+      seed: args.seed,
+    });
+    const {bound, publish, ...shape} = args;
+    const loads = args.trainers.map((trainer): TrainerLoad => ({
+      ...shape,
+      trainer,
+      stalenessBound: bound,
+      isPublishing: publish,
+      stepTimeoutMs: STEP_TIMEOUT_MS,
+    }));
+    const [calls, trainers] = await Promise.all([
+      runCallers(target, plan),
+      Promise.all(loads.map(load => runTrainer(target, load))),
+    ]);
+    printLine(`seed ${args.seed}, ${plan.length} calls planned`);
+    printLine(formatLoad(calls, trainers));
+    const isClean = trainers.every(
+      tally => tally.unfinished === 0 && tally.duplicated === 0,
+    );
+    if (!isClean) process.exitCode = EXIT_FAILED;
+  },
+});
--- a/packages/server/src/main.ts
+++ b/packages/server/src/main.ts
@@ -10,6 +10,7 @@
 import {CONFIG_COMMAND} from './commands/config_commands';
 import {DRAIN_COMMAND} from './commands/drain_command';
 import {EXPLAIN_COMMAND} from './commands/explain_command';
+import {LOAD_COMMAND} from './commands/load_command';
 import {EXIT_USAGE} from './commands/output';
 import {REPORT_COMMAND} from './commands/report_command';
 import {RULES_COMMAND} from './commands/rules_commands';
@@ -53,6 +54,7 @@
       report: REPORT_COMMAND,
       explain: EXPLAIN_COMMAND,
       drain: DRAIN_COMMAND,
+      load: LOAD_COMMAND,
     },
   }),
 );
