--- a/packages/server/src/entry/entry_callers.ts
+++ b/packages/server/src/entry/entry_callers.ts
@@ -24,7 +24,6 @@
   readonly rules: RulesHolder;
   readonly log: EventLog;
   readonly metrics: Metrics;
-  readonly maxOpenRequests: number;
   readonly defaultBudgetMs: number;
 }
 
@@ -81,10 +80,6 @@
       const detail = `${request.service} does not take such calls`;
       return err(createError('bad-request', detail));
     }
-    if (this.options.dispatcher.countOpen() >= this.options.maxOpenRequests) {
-      const detail = `${this.options.maxOpenRequests} requests are open`;
-      return err(createError('too-many-open', detail));
-    }
     return ok(this.createDispatch(request, book));
   }
 
--- a/packages/server/src/shared/settings_schemas.ts
+++ b/packages/server/src/shared/settings_schemas.ts
@@ -63,16 +63,21 @@
     .default('info'),
 });
 
-const LIMITS_SCHEMA = z.strictObject({
-  maxHeaderBytes: BYTES.default(DEFAULT_HTTP_LIMITS.maxHeaderBytes),
-  maxBodyBytes: BYTES.default(DEFAULT_HTTP_LIMITS.maxBodyBytes),
-  headersTimeoutMs: DURATION_MS.default(DEFAULT_HTTP_LIMITS.headersTimeoutMs),
-  requestTimeoutMs: DURATION_MS.default(DEFAULT_HTTP_LIMITS.requestTimeoutMs),
-  /** Requests of callers that an entry holds open at once. */
-  maxOpenRequests: COUNT.default(DEFAULT_MAX_OPEN),
-  /** Time for a request whose caller states none, in ms. */
-  defaultBudgetMs: DURATION_MS.default(DEFAULT_BUDGET_MS),
-});
+const LIMITS_SCHEMA = z
+  .strictObject({
+    maxHeaderBytes: BYTES.default(DEFAULT_HTTP_LIMITS.maxHeaderBytes),
+    maxBodyBytes: BYTES.default(DEFAULT_HTTP_LIMITS.maxBodyBytes),
+    headersTimeoutMs: DURATION_MS.default(DEFAULT_HTTP_LIMITS.headersTimeoutMs),
+    requestTimeoutMs: DURATION_MS.default(DEFAULT_HTTP_LIMITS.requestTimeoutMs),
+    /** Requests of callers that an entry holds open at once. */
+    maxOpenRequests: COUNT.default(DEFAULT_MAX_OPEN),
+    /** Time for a request whose caller states none, in ms. */
+    defaultBudgetMs: DURATION_MS.default(DEFAULT_BUDGET_MS),
+  })
+  .refine(limits => limits.headersTimeoutMs <= limits.requestTimeoutMs, {
+    path: ['headersTimeoutMs'],
+    error: 'expected at most requestTimeoutMs',
+  });
 
 const NODE_FIELDS = {
   name: NAME,
