--- a/packages/operators/src/rules_writer.fuzz.test.ts
+++ b/packages/operators/src/rules_writer.fuzz.test.ts
@@ -119,7 +119,7 @@
 const READ_FATES = ['run', 'loseRequest'] as const;
 const WRITE_FATES = ['run', 'loseReply', 'loseRequest', 'delay'] as const;
 
-async function flushMicrotasks(): Promise<void> {
+async function waitForCalls(): Promise<void> {
   await new Promise(resolve => setImmediate(resolve));
 }
 
@@ -146,7 +146,7 @@
     }).then(result => told.set(author, result));
   }
   for (let step = 0; told.size < operators.length; step++) {
-    await flushMicrotasks();
+    await waitForCalls();
     states.push(describeState(store, told));
     const isFree = step < maxSteps;
     stepRace(store, isFree ? choose : () => 0);
@@ -233,7 +233,7 @@
 });
 
 /** Walks every sequence of choices up to a depth by replay. */
-async function enumerateRaces(apply: Apply, depth: number) {
+async function walkRaces(apply: Apply, depth: number) {
   const states = new Set<string>();
   const violations = new Set<string>();
   let races = 0;
@@ -260,12 +260,12 @@
 
 describe('every order of two operators, to a depth of 12 choices', () => {
   test('tells the truth', async () => {
-    const walked = await enumerateRaces(applyFully, 12);
+    const walked = await walkRaces(applyFully, 12);
     expect(walked).toMatchSnapshot();
   });
 
   test('control: one read-back tells untruths', async () => {
-    const walked = await enumerateRaces(applyNaively, 12);
+    const walked = await walkRaces(applyNaively, 12);
     expect([...walked.violations].sort()).toMatchSnapshot();
   });
 });
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -239,7 +239,10 @@
           totalLength: record.answer.getLength(),
         })),
       }),
-      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
+      watch: (request, writer) => {
+        this.feed.recordPeer(request.rulesRevision);
+        this.heartbeats.addWatcher(writer);
+      },
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       offerRules: offer => this.feed.acceptOffer(offer),
       fetchWeights: (_request, writer) => writer.end(),
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -95,7 +95,10 @@
       ...settings.limits,
     });
     this.peerServer = NodeServer.createEntry({
-      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
+      watch: (request, writer) => {
+        this.feed.recordPeer(request.rulesRevision);
+        this.heartbeats.addWatcher(writer);
+      },
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       forwardStep: call => this.steps.answerForwarded(call),
     });
--- a/packages/server/src/shared/rules_feed.ts
+++ b/packages/server/src/shared/rules_feed.ts
@@ -92,6 +92,11 @@
     return true;
   }
 
+  /** Notes the revision of a peer that begins to watch this node. */
+  recordPeer(revision: number): void {
+    this.survey.recordPeer(revision);
+  }
+
   /** Fetches the rules of a peer that says it holds a newer revision. */
   async followPeer(peer: RulesPeer, peerRevision: number): Promise<void> {
     this.survey.recordPeer(peerRevision);
