Bound how long a silent platform connection delays rules

Cause: a long poll of 15 s on a connection that has gone silent ends after 17 s, over the 9 s that rules have. The cost is one call in 3 s an entry. Process tests: outage right after acceptance, silent connections, a restart beside a lagging peer, a domain cut off and healed, racing operators with lost replies.

--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -2,6 +2,7 @@
 export * from './child_process';
 export * from './clients';
 export * from './demo_plan';
+export * from './fleet_links';
 export * from './node_status';
 export * from './system';
 export * from './tcp_relay';
--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -10,10 +10,20 @@
 import {ObjectClient} from '@sassafrasspan/platform';
 import {stringify} from 'yaml';
 import {ManagedProcess} from './child_process';
+import {FleetLinks, PlannedNode} from './fleet_links';
 import {countServing, fetchStatus, waitUntil} from './node_status';
+import {
+  PrintedAddress,
+  StartedStandin,
+  formatUrl,
+  readAddress,
+  sendAdmin,
+  startStandin,
+} from './standin_process';
 import {TcpRelay} from './tcp_relay';
 
-const HOST = '127.0.0.1';
+export type {StartedStandin} from './standin_process';
+
 /** One endpoint with its agent. */
 export interface EndpointPlan {
   readonly name: string;
@@ -39,12 +49,11 @@
   readonly logLevel?: 'debug' | 'info' | 'warn' | 'error';
   /** Whether nodes reach each other and the platform through relays. */
   readonly hasRelays?: boolean;
-}
-
-/** Host and port, as processes print them. */
-interface PrintedAddress {
-  readonly host: string;
-  readonly port: number;
+  /**
+   * Whether each entry has a link of its own to each other node, which can be
+   * cut. Nodes then know each other from their settings alone.
+   */
+  readonly hasLinks?: boolean;
 }
 
 /** Addresses that a node prints. */
@@ -68,13 +77,6 @@
   readonly settingsFile: string;
 }
 
-/** A started stand-in. */
-export interface StartedStandin {
-  readonly name: string;
-  readonly process: ManagedProcess;
-  readonly url: string;
-}
-
 /** Returns the API key that the harness uses for a customer. */
 export function createApiKey(customer: string): string {
   return `key-of-${customer}`;
@@ -94,6 +96,7 @@
   readonly peerRelays = new Map<string, TcpRelay>();
   /** Relay from each node to the platform, by node name. */
   readonly platformRelays = new Map<string, TcpRelay>();
+  private readonly links: FleetLinks;
   private readonly folder = mkdtempSync(
     path.join(tmpdir(), 'sassafrasspan-system-'),
   );
@@ -103,7 +106,9 @@
     readonly platform: StartedStandin,
     readonly weights: StartedStandin,
     readonly scoring: StartedStandin,
-  ) {}
+  ) {
+    this.links = FleetLinks.create(listPlannedNodes(plan));
+  }
 
   /** Starts everything and waits until the entries see every endpoint. */
   static async create(plan: SystemPlan): Promise<TestSystem> {
@@ -113,6 +118,7 @@
       startStandin('scoring', 'scoring', {}),
     ]);
     const system = new TestSystem(plan, platform, weights, scoring);
+    if (plan.hasLinks === true) await system.links.open();
     await system.applyRules(plan.rules);
     await Promise.all(plan.endpoints.map(item => system.startEndpoint(item)));
     await Promise.all(plan.entries.map(item => system.startEntry(item)));
@@ -200,7 +206,7 @@
       operators: readAddress(known?.operatorsUrl),
       platform: {objectsUrl: platformUrl, vmsUrl: platformUrl},
       log: {level: this.plan.logLevel ?? 'info'},
-      seeds: this.describeNodes().filter(node => node.name !== name),
+      seeds: this.listSeeds(name),
       ...fields,
     };
     const settingsFile = path.join(this.folder, `${name}.yaml`);
@@ -211,6 +217,7 @@
     ]);
     const printed = started.addresses as PrintedNode;
     await this.createPeerRelay(name, printed.peers);
+    this.links.setTarget(name, `${printed.peers.host}:${printed.peers.port}`);
     return {
       name,
       failureDomain,
@@ -222,8 +229,33 @@
     };
   }
 
+  private listSeeds(name: string) {
+    if (this.plan.hasLinks === true) return this.links.listSeeds(name);
+    return this.describeNodes().filter(node => node.name !== name);
+  }
+
+  /** Cuts a failure domain off from all others and from the platform. */
+  cutDomain(domain: string): void {
+    this.links.cutDomain(domain);
+    for (const relay of this.listPlatformRelays(domain)) relay.cutLink();
+  }
+
+  /** Ends a cut; connections that it silenced stay silent. */
+  healDomain(domain: string): void {
+    this.links.healDomain(domain);
+    for (const relay of this.listPlatformRelays(domain)) relay.setMode('pass');
+  }
+
+  private listPlatformRelays(domain: string): TcpRelay[] {
+    const nodes = [...this.entries.values(), ...this.agents.values()];
+    return nodes
+      .filter(node => node.failureDomain === domain)
+      .flatMap(node => this.platformRelays.get(node.name) ?? []);
+  }
+
   private async createPlatformUrl(name: string): Promise<string> {
-    if (this.plan.hasRelays !== true) return this.platform.url;
+    const {hasRelays, hasLinks} = this.plan;
+    if (hasRelays !== true && hasLinks !== true) return this.platform.url;
     const known = this.platformRelays.get(name);
     const relay = known ?? (await TcpRelay.create(this.platform.url.slice(7)));
     this.platformRelays.set(name, relay);
@@ -244,7 +276,8 @@
     leaving: readonly string[],
     missing: readonly string[] = [],
   ): Promise<void> {
-    const vms = this.describeNodes()
+    const listed = this.plan.hasLinks === true ? [] : this.describeNodes();
+    const vms = listed
       .filter(node => !missing.includes(node.name))
       .map(node => ({
         ...node,
@@ -311,6 +344,7 @@
       this.scoring,
     ].map(item => item.process);
     const relays = [this.peerRelays, this.platformRelays];
+    this.links.close();
     for (const relay of relays.flatMap(map => [...map.values()])) relay.close();
     for (const item of processes) item.sendSignal('SIGCONT');
     await Promise.all(processes.map(item => item.kill()));
@@ -318,38 +352,14 @@
   }
 }
 
-async function startStandin(
-  name: string,
-  kind: string,
-  options: Readonly<Record<string, unknown>>,
-): Promise<StartedStandin> {
-  const args = [kind, HOST, '0', JSON.stringify(options)];
-  const started = await ManagedProcess.create(name, 'standins.cjs', args);
-  const url = formatUrl(started.addresses as PrintedAddress);
-  return {name, process: started, url};
-}
-
-async function sendAdmin(
-  url: string,
-  method: string,
-  body: unknown,
-): Promise<void> {
-  const reply = await fetch(url, {
-    method,
-    headers: {'content-type': 'application/json'},
-    body: JSON.stringify(body),
-  });
-  if (!reply.ok) throw new Error(`${url}: ${await reply.text()}`);
-}
-
-function formatUrl(address: PrintedAddress): string {
-  return `http://${address.host}:${address.port}`;
-}
-
-function readAddress(url: string | undefined): PrintedAddress {
-  if (url === undefined || url === '') return {host: HOST, port: 0};
-  const parsed = new URL(url);
-  return {host: parsed.hostname, port: Number(parsed.port)};
+function listPlannedNodes(plan: SystemPlan): PlannedNode[] {
+  const entries = plan.entries.map(item => ({...item, role: 'entry' as const}));
+  const agents = plan.endpoints.map(({name, failureDomain}) => ({
+    name: `agent-${name}`,
+    failureDomain,
+    role: 'agent' as const,
+  }));
+  return [...entries, ...agents];
 }
 
 function getOrThrow<T>(map: ReadonlyMap<string, T>, name: string): T {
--- a/packages/harness/src/tcp_relay.ts
+++ b/packages/harness/src/tcp_relay.ts
@@ -21,8 +21,8 @@
 
   private constructor(
     private readonly server: Server,
-    private readonly host: string,
-    private readonly port: number,
+    private host: string,
+    private port: number,
   ) {}
 
   /** Starts a relay to `host:port`. */
@@ -37,6 +37,19 @@
     return relay;
   }
 
+  /** Leads connections made from now on to another `host:port`. */
+  setTarget(target: string): void {
+    const [host, port] = target.split(':');
+    this.host = host;
+    this.port = Number(port);
+  }
+
+  /** Makes open and later connections silent, as a cut link does. */
+  cutLink(): void {
+    this.mode = 'silent';
+    this.silenceConnections();
+  }
+
   /** Returns `host:port` of the relay. */
   getAddress(): string {
     const bound = this.server.address() as AddressInfo;
--- a/packages/server/src/shared/object_watch.ts
+++ b/packages/server/src/shared/object_watch.ts
@@ -8,7 +8,7 @@
 import type {ObjectStore, StoredObject} from '@sassafrasspan/platform';
 import {EventLog, waitMs} from '@sassafrasspan/runtime';
 
-const WATCH_WAIT_MS = 15_000;
+const DEFAULT_WATCH_WAIT_MS = 15_000;
 const MIN_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 4_000;
 const POLL_START_SPREAD_MS = 2_000;
@@ -23,6 +23,8 @@
   readonly listener: ObjectListener;
   readonly random: RandomSource;
   readonly log: EventLog;
+  /** Length of a long poll; bounds how long a silent connection is used. */
+  readonly watchWaitMs?: number;
   /** Mean time between plain reads; undefined for long polls. */
   readonly pollIntervalMs?: number;
 }
@@ -56,7 +58,8 @@
   private callStore() {
     const {store, key, pollIntervalMs} = this.options;
     if (pollIntervalMs !== undefined) return store.readObject(key);
-    return store.watchObject(key, this.version, WATCH_WAIT_MS);
+    const maxWaitMs = this.options.watchWaitMs ?? DEFAULT_WATCH_WAIT_MS;
+    return store.watchObject(key, this.version, maxWaitMs);
   }
 
   private async applyObject(object: StoredObject): Promise<void> {
--- a/packages/server/src/shared/rules_feed.ts
+++ b/packages/server/src/shared/rules_feed.ts
@@ -25,6 +25,9 @@
 import type {Result} from 'neverthrow';
 import {ObjectWatch} from './object_watch';
 
+/** With the call timeout on top, well under the 9 s that rules have. */
+const HEAD_WATCH_WAIT_MS = 3_000;
+
 /** A peer that can hand over its rules. */
 export interface RulesPeer {
   fetchRules(newerThan: number): Promise<Result<FetchRulesReply, ServiceError>>;
@@ -52,6 +55,7 @@
     this.watch = ObjectWatch.create({
       ...options,
       key: RULES_HEAD_KEY,
+      watchWaitMs: HEAD_WATCH_WAIT_MS,
       listener: object => this.applyHead(object),
     });
   }
