--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -32,6 +32,8 @@
   readonly failureDomain: string;
   /** Options of the stand-in. */
   readonly options?: Readonly<Record<string, unknown>>;
+  /** Settings of the agent beyond those of every agent. */
+  readonly agent?: Readonly<Record<string, unknown>>;
 }
 
 /** One entry. */
@@ -162,7 +164,7 @@
     const standin = this.endpoints.get(plan.name);
     const options = plan.options ?? {};
     const node = await this.startNode('agent', name, plan.failureDomain, {
-      weightStoreUrl: this.weights.url,
+      weightStore: {url: this.weights.url, fetchesPerSecond: 1_000},
       endpoints: [
         {
           name: plan.name,
@@ -173,6 +175,7 @@
           fencing: options.fencing ?? 'checks',
         },
       ],
+      ...plan.agent,
     });
     this.agents.set(name, node);
     return node;
--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -13,6 +13,7 @@
   AgentHeartbeat,
   AgentNodeClient,
   FetchRulesReply,
+  FetchWeightsRequest,
   KeptAnswer,
   OfferRulesReply,
   OfferRulesRequest,
@@ -22,6 +23,7 @@
   RunFrame,
   RunRequest,
   WatchRequest,
+  WeightsChunk,
 } from './generated/nodes';
 
 /** Interval between `Alive` frames of an idle run. */
@@ -42,6 +44,12 @@
   cancel(): void;
 }
 
+/** An attempt as one entry follows it. */
+export interface RunOfEntry {
+  readonly attempt: number;
+  readonly entry: string;
+}
+
 /** What an entry can ask of an agent. */
 export interface AgentPeer {
   startRun(
@@ -53,9 +61,13 @@
     listener: StreamListener<RunFrame>,
   ): StreamHandle;
   revokeRun(request: RevokeRequest): Promise<Result<RevokeReply, ServiceError>>;
-  acknowledgeRun(requestId: string, cancel: boolean): void;
+  acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void;
   listAnswers(prefix: string): Promise<Result<KeptAnswer[], ServiceError>>;
   fetchRules(newerThan: number): Promise<Result<FetchRulesReply, ServiceError>>;
+  /** Fetches one block of weights that the agent keeps. */
+  fetchWeights(
+    request: FetchWeightsRequest,
+  ): Promise<Result<WeightsChunk, ServiceError>>;
   offerRules(
     request: OfferRulesRequest,
   ): Promise<Result<OfferRulesReply, ServiceError>>;
@@ -116,9 +128,9 @@
     return reply;
   }
 
-  acknowledgeRun(requestId: string, cancel: boolean): void {
+  acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void {
     const deadline = Date.now() + UNARY_TIMEOUT_MS;
-    const request = {requestId, cancel};
+    const request = {requestId, cancel, ...run};
     const options = {deadline};
     this.client.acknowledge(request, new Metadata(), options, () => undefined);
   }
@@ -141,6 +153,18 @@
     );
   }
 
+  fetchWeights(
+    request: FetchWeightsRequest,
+  ): Promise<Result<WeightsChunk, ServiceError>> {
+    return new Promise(resolve => {
+      const missing = createError('not-found', 'the agent has no such weights');
+      followStream(this.client.fetchWeights(request), {
+        receiveMessage: chunk => resolve(ok(chunk)),
+        handleLoss: () => resolve(err(missing)),
+      });
+    });
+  }
+
   offerRules(
     request: OfferRulesRequest,
   ): Promise<Result<OfferRulesReply, ServiceError>> {
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -20,7 +20,7 @@
 import {ObjectClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
-  EventLog,
+  DecisionLog,
   HttpServer,
   Metrics,
   SYSTEM_CLOCK,
@@ -35,7 +35,7 @@
 import type {AgentSettings} from '../shared/settings_schemas';
 import {AgentRuns} from './agent_runs';
 import {EndpointUnit} from './endpoint_unit';
-import {EngineSwapper} from './engine_swapper';
+import {WeightParts} from './weight_parts';
 
 const SWEEP_INTERVAL_MS = 100;
 const LOAD_INTERVAL_MS = 250;
@@ -54,14 +54,14 @@
 /** A running agent. */
 export class AgentProcess {
   private readonly incarnation = randomUUID();
-  private readonly log: EventLog;
+  private readonly log: DecisionLog;
   private readonly metrics = Metrics.create();
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
   private readonly store: ObjectClient;
   private readonly feed: RulesFeed;
   private readonly units: ReadonlyMap<string, EndpointUnit>;
-  private readonly swappers: readonly EngineSwapper[];
+  private readonly weights: WeightParts;
   private readonly watches: readonly ObjectWatch[];
   private readonly runs: AgentRuns;
   private readonly peerServer: NodeServer;
@@ -74,7 +74,10 @@
 
   private constructor(private readonly settings: AgentSettings) {
     const {name, log} = settings;
-    this.log = createEventLog({node: name, role: 'agent', level: log.level});
+    this.log = DecisionLog.create({
+      log: createEventLog({node: name, role: 'agent', level: log.level}),
+      clock: SYSTEM_CLOCK,
+    });
     this.store = ObjectClient.create(settings.platform.objectsUrl);
     this.feed = RulesFeed.create({
       store: this.store,
@@ -88,7 +91,7 @@
     this.units = new Map(
       settings.endpoints.map(item => [item.name, EndpointUnit.create(item)]),
     );
-    this.swappers = this.createSwappers();
+    this.weights = this.createWeights();
     this.watches = this.createVersionWatches();
     this.runs = AgentRuns.create({
       incarnation: this.incarnation,
@@ -103,8 +106,13 @@
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
         metrics: this.metrics,
+        node: name,
+        decisions: this.log,
         isReady: () => this.isReady(),
-        describeStatus: () => this.createHeartbeat(),
+        describeStatus: () => ({
+          role: 'agent',
+          ...this.createHeartbeat(),
+        }),
       }),
       DEFAULT_HTTP_LIMITS,
     );
@@ -121,6 +129,7 @@
     const operators = await this.operatorsServer.listen(
       this.settings.operators,
     );
+    await this.weights.start();
     this.feed.start();
     for (const watch of this.watches) void watch.run();
     this.addTimer(SWEEP_INTERVAL_MS, () => this.runs.sweep());
@@ -143,6 +152,7 @@
     for (const timer of this.timers) clearInterval(timer);
     for (const watch of this.watches) watch.stop();
     this.feed.stop();
+    this.weights.stop();
     this.peerServer.destroy();
     this.operatorsServer.destroy();
     await this.store.close();
@@ -165,7 +175,7 @@
 
   private refreshUnits(): void {
     for (const unit of this.units.values()) void unit.refreshLoad();
-    for (const swapper of this.swappers) void swapper.advance();
+    this.weights.advance();
   }
 
   private listEngines(): EndpointUnit[] {
@@ -174,17 +184,16 @@
     );
   }
 
-  private createSwappers(): EngineSwapper[] {
-    return this.listEngines().map(unit =>
-      EngineSwapper.create({
-        unit,
-        store: this.store,
-        holder: `${this.settings.name}/${this.incarnation}`,
-        weightStoreUrl: this.settings.weightStoreUrl ?? '',
-        clock: SYSTEM_CLOCK,
-        log: this.log,
-      }),
-    );
+  private createWeights(): WeightParts {
+    return WeightParts.create({
+      settings: this.settings,
+      holder: `${this.settings.name}/${this.incarnation}`,
+      engines: this.listEngines(),
+      store: this.store,
+      rules: this.rules,
+      clock: SYSTEM_CLOCK,
+      log: this.log,
+    });
   }
 
   private createVersionWatches(): ObjectWatch[] {
@@ -205,11 +214,7 @@
   private applyVersion(value: unknown): boolean {
     const parsed = VERSION_HEAD_SCHEMA.safeParse(value);
     if (!parsed.success) return true;
-    const engines = this.listEngines();
-    for (const [index, swapper] of this.swappers.entries()) {
-      const {service} = engines[index].settings;
-      if (service === parsed.data.service) swapper.setTarget(parsed.data);
-    }
+    this.weights.setHead(parsed.data);
     return true;
   }
 
@@ -218,16 +223,11 @@
       run: (request, writer) => this.runRequest(request, writer),
       resume: (request, writer) => this.runs.resumeRun(request, writer),
       revoke: request => {
-        const status = this.runs.revokeRun(
-          request.requestId,
-          request.attempt,
-          request.incarnation,
-          request.seenTick,
-        );
+        const status = this.runs.revokeRun(request);
         return {state: WIRE_STATES[status], incarnation: this.incarnation};
       },
       acknowledge: request => ({
-        found: this.runs.acknowledgeRun(request.requestId, request.cancel),
+        found: this.runs.acknowledgeRun(request),
       }),
       listAnswers: request => ({
         answers: this.runs.listRuns(request.prefix).map(record => ({
@@ -244,8 +244,9 @@
         this.heartbeats.addWatcher(writer);
       },
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
+      fetchWeights: (request, writer) =>
+        void this.weights.sendBlock(request, writer),
       offerRules: offer => this.feed.acceptOffer(offer),
-      fetchWeights: (_request, writer) => writer.end(),
       drain: request => this.drainEndpoint(request.endpoint),
     };
   }
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -6,7 +6,7 @@
 import {ObjectClient, VmListClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
-  EventLog,
+  DecisionLog,
   HttpServer,
   ListenAddress,
   Metrics,
@@ -25,6 +25,7 @@
 import {EntryCallers} from './entry_callers';
 import {NodeDirectory} from './node_directory';
 import {createMissingScoring} from './step_runner';
+import {StepPool} from './step_pool';
 import {StepService} from './step_service';
 import {VersionPublisher} from './version_publisher';
 
@@ -41,7 +42,7 @@
 /** A running entry. */
 export class EntryProcess {
   private readonly incarnation = randomUUID();
-  private readonly log: EventLog;
+  private readonly log: DecisionLog;
   private readonly metrics = Metrics.create();
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
@@ -65,7 +66,10 @@
 
   private constructor(private readonly settings: EntrySettings) {
     const {name, log} = settings;
-    this.log = createEventLog({node: name, role: 'entry', level: log.level});
+    this.log = DecisionLog.create({
+      log: createEventLog({node: name, role: 'entry', level: log.level}),
+      clock: SYSTEM_CLOCK,
+    });
     this.store = ObjectClient.create(settings.platform.objectsUrl);
     this.feed = RulesFeed.create({
       store: this.store,
@@ -112,6 +116,8 @@
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
         metrics: this.metrics,
+        node: name,
+        decisions: this.log,
         isReady: () => this.isReady(),
         describeStatus: () => this.describeStatus(),
       }),
@@ -204,28 +210,30 @@
   private createSteps(): StepService {
     return StepService.create({
       entry: this.settings.name,
+      incarnation: this.incarnation,
       directory: this.directory,
       dispatcher: this.dispatcher,
       store: this.store,
       rules: this.rules,
+      clock: SYSTEM_CLOCK,
       log: this.log,
+      pool: StepPool.create({fleet: this.fleet, clock: SYSTEM_CLOCK}),
       findScoring: name => this.scoring.get(name) ?? createMissingScoring(name),
-      readConcurrency: service => this.countSlots(service),
     });
   }
 
-  private countSlots(service: string): number {
-    const nowMs = SYSTEM_CLOCK.readMonotonicMs();
-    const serving = this.fleet.listServing(service, nowMs);
-    return serving.reduce((sum, endpoint) => sum + endpoint.slots, 0);
-  }
-
   private createTrainerBackend(): TrainerBackend {
     return {
       authenticate: keySha256 => this.callers.authenticate(keySha256),
       putStep: (name, description) => this.steps.putStep(name, description),
       pullSamples: (name, pull) => this.steps.pullSamples(name, pull),
-      publishVersion: item => this.publisher.publishVersion(item),
+      publishVersion: async item => {
+        const published = await this.publisher.publishVersion(item);
+        if (published.isErr()) return published;
+        const {service, version} = published.value;
+        await this.steps.publishVersion(service, version);
+        return published;
+      },
     };
   }
 
@@ -251,7 +259,7 @@
       node: this.settings.name,
       role: 'entry',
       failureDomain: this.settings.failureDomain,
-      ready: this.isReady(),
+      leaving: this.isLeaving,
       rulesRevision: this.rules.getRevisionNumber(),
       openRequests: this.dispatcher.countOpen(),
       agents: this.fleet.listAgents(nowMs),
