--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -241,7 +241,10 @@
           totalLength: record.answer.getLength(),
         })),
       }),
-      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
+      watch: (request, writer) => {
+        this.feed.recordPeer(request.rulesRevision);
+        this.heartbeats.addWatcher(writer);
+      },
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       fetchWeights: (request, writer) =>
         void this.weights.sendBlock(request, writer),
