Add a seeded benchmark of the decisions on a virtual clock

npm run bench runs the real fleet view, step state, retry budget and queue with small fakes of endpoints, agents, entries and trainers, for both deployments under seven scenarios, and compares random, least-outstanding and the first landed policy (kept as a fixture) with the current one.

--- a/bin/bundle.mjs
+++ b/bin/bundle.mjs
@@ -12,6 +12,7 @@
   sassafrasspan: 'packages/server/src/main.ts',
   standins: 'packages/standins/src/main.ts',
   demo: 'packages/harness/src/demo.ts',
+  bench: 'packages/bench/src/main.ts',
 };
 
 /** Optional native parts of libraries, replaced by modules that throw. */
--- /dev/null
+++ b/packages/bench/src/bench_report.ts
@@ -0,0 +1,109 @@
+/** Runs the comparison and prints it as tables. */
+import {DEPLOYMENTS, Deployment} from './deployments';
+import {POLICIES, Policy} from './policies';
+import {SCENARIOS, Scenario} from './scenarios';
+import {Simulation} from './simulation';
+import {RunSummary, summarizeRun} from './summary';
+
+/** One line of the comparison. */
+export interface BenchResult {
+  readonly deployment: string;
+  readonly scenario: string;
+  readonly policy: string;
+  readonly summary: RunSummary;
+}
+
+/** What a comparison covers. */
+export interface BenchPlan {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly deployments: readonly Deployment[];
+  readonly scenarios: readonly Scenario[];
+  readonly policies: readonly Policy[];
+}
+
+/** The whole comparison from a seed. */
+export function createFullPlan(seed: number, durationMs: number): BenchPlan {
+  return {
+    seed,
+    durationMs,
+    deployments: DEPLOYMENTS,
+    scenarios: SCENARIOS,
+    policies: POLICIES,
+  };
+}
+
+/** Runs every policy under every scenario of every deployment. */
+export function runBench(plan: BenchPlan): BenchResult[] {
+  const {seed, durationMs} = plan;
+  return plan.deployments.flatMap(deployment =>
+    plan.scenarios.flatMap(scenario =>
+      plan.policies.map(policy => {
+        const run = {deployment, scenario, policy, seed, durationMs};
+        const stats = Simulation.run(run);
+        return {
+          deployment: deployment.name,
+          scenario: scenario.name,
+          policy: policy.name,
+          summary: summarizeRun(stats, deployment, durationMs),
+        };
+      }),
+    ),
+  );
+}
+
+/** A column of the tables. */
+interface Column {
+  readonly title: string;
+  readonly format: (summary: RunSummary) => string;
+}
+
+const COLUMNS: readonly Column[] = [
+  {title: 'idle %', format: row => formatPercent(row.idleShare)},
+  {title: 'stale mean', format: row => row.stalenessMean.toFixed(2)},
+  {title: 'p99', format: row => String(row.stalenessP99)},
+  {title: 'dropped', format: row => String(row.dropped)},
+  {title: 'samples', format: row => String(row.delivered)},
+  {title: 'engine p50', format: row => row.engineP50Ms.toFixed(0)},
+  {title: 'p99 ms', format: row => row.engineP99Ms.toFixed(0)},
+  {title: 'refused %', format: row => formatPercent(row.engineRefused)},
+  {title: 'good/s', format: row => row.engineGoodput.toFixed(2)},
+  {title: 'plain p50', format: row => row.plainP50Ms.toFixed(0)},
+  {title: 'p99 ms', format: row => row.plainP99Ms.toFixed(0)},
+  {title: 'refused %', format: row => formatPercent(row.plainRefused)},
+  {title: 'good/s', format: row => row.plainGoodput.toFixed(1)},
+  {title: 'prefix %', format: row => formatPercent(row.prefixHits)},
+  {title: 'costly MB', format: row => row.costlyMb.toFixed(1)},
+  {title: 'retries', format: row => String(row.retries)},
+];
+const NAME_WIDTH = 18;
+const GAP = '  ';
+
+function formatPercent(share: number): string {
+  return (share * 100).toFixed(1);
+}
+
+/** Prints the results as one table for each deployment and scenario. */
+export function formatResults(results: readonly BenchResult[]): string {
+  const lines: string[] = [];
+  let heading = '';
+  for (const result of results) {
+    const next = `${result.deployment}, ${result.scenario}`;
+    if (next !== heading) lines.push('', next, formatHeader());
+    heading = next;
+    lines.push(formatLine(result));
+  }
+  return `${lines.join('\n')}\n`;
+}
+
+function formatHeader(): string {
+  const titles = COLUMNS.map(column => column.title);
+  return [''.padEnd(NAME_WIDTH), ...titles].join(GAP);
+}
+
+function formatLine(result: BenchResult): string {
+  const cells = COLUMNS.map(column =>
+    column.format(result.summary).padStart(column.title.length),
+  );
+  return [result.policy.padEnd(NAME_WIDTH), ...cells].join(GAP);
+}
--- /dev/null
+++ b/packages/bench/src/fake_agent.ts
@@ -0,0 +1,145 @@
+/** A small fake of an agent before one endpoint; its queue is the real one. */
+import type {AgentReport, ErrorKind, QueuedWork} from '@sassafrasspan/core';
+import {FakeEndpoint, FakeHandle, FakeRun, FakeRunEnd} from './fake_endpoint';
+import type {Admission} from './policies';
+import type {VirtualClock} from './virtual_clock';
+
+const SWEEP_INTERVAL_MS = 100;
+
+/** What an agent answers to a dispatch. */
+export type AgentReply =
+  | {readonly type: 'ended'; readonly end: FakeRunEnd}
+  | {readonly type: 'refused'; readonly kind: ErrorKind}
+  | {readonly type: 'failed'; readonly kind: ErrorKind};
+
+/** Hears what became of a dispatch. */
+export type ReplyListener = (reply: AgentReply) => void;
+
+/** Where an agent stands. */
+export interface AgentPlace {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly service: string;
+  readonly slots: number;
+}
+
+interface PendingRun {
+  readonly run: FakeRun;
+  readonly onReply: ReplyListener;
+}
+
+/** One agent. */
+export class FakeAgent {
+  private readonly pending = new Map<string, PendingRun>();
+  private readonly handles = new Map<string, FakeHandle>();
+  private life = 1;
+
+  private constructor(
+    readonly place: AgentPlace,
+    readonly endpoint: FakeEndpoint,
+    private readonly clock: VirtualClock,
+    private readonly admission: Admission,
+  ) {
+    clock.repeat(SWEEP_INTERVAL_MS, () => this.sweep());
+  }
+
+  /** Builds an agent. */
+  static create(
+    place: AgentPlace,
+    endpoint: FakeEndpoint,
+    clock: VirtualClock,
+    admission: Admission,
+  ): FakeAgent {
+    return new FakeAgent(place, endpoint, clock, admission);
+  }
+
+  /** Takes a dispatch. */
+  offerRun(work: QueuedWork, run: FakeRun, onReply: ReplyListener): void {
+    const refusal = this.admission.offerWork(
+      work,
+      this.clock.readMonotonicMs(),
+    );
+    if (refusal !== undefined) return onReply({type: 'refused', kind: refusal});
+    this.pending.set(work.requestId, {run, onReply});
+    this.startWaiting();
+  }
+
+  /** Stops a run that nobody waits for. */
+  cancelRun(requestId: string): void {
+    if (this.pending.delete(requestId)) this.admission.removeWaiting(requestId);
+    const handle = this.handles.get(requestId);
+    if (handle === undefined) return;
+    this.endpoint.cancelRun(handle);
+    this.endRun(requestId);
+  }
+
+  private startWaiting(): void {
+    for (;;) {
+      const tick = this.clock.readMonotonicMs();
+      const next = this.admission.takeNext(tick);
+      if (next === undefined) return;
+      this.startRun(next.requestId);
+    }
+  }
+
+  private startRun(requestId: string): void {
+    const pending = this.pending.get(requestId);
+    this.pending.delete(requestId);
+    if (pending === undefined) return;
+    const handle = this.endpoint.startRun(pending.run, end => {
+      this.endRun(requestId);
+      if (end.isWhole) pending.onReply({type: 'ended', end});
+      else pending.onReply({type: 'failed', kind: 'endpoint-failed'});
+    });
+    this.handles.set(requestId, handle);
+  }
+
+  private endRun(requestId: string): void {
+    this.handles.delete(requestId);
+    this.admission.releaseSlot(requestId, this.clock.readMonotonicMs());
+    this.startWaiting();
+  }
+
+  private sweep(): void {
+    for (const work of this.admission.takeExpired(
+      this.clock.readMonotonicMs(),
+    )) {
+      const pending = this.pending.get(work.requestId);
+      this.pending.delete(work.requestId);
+      pending?.onReply({type: 'refused', kind: 'deadline-unmeetable'});
+    }
+  }
+
+  /** Comes back as a new life, after its failure domain was lost. */
+  restart(): void {
+    this.life += 1;
+    this.endpoint.recover();
+  }
+
+  /** Describes the agent as its heartbeats do. */
+  createReport(): AgentReport {
+    const {name, failureDomain, service, slots} = this.place;
+    return {
+      agent: name,
+      failureDomain,
+      incarnation: `${name}-${this.life}`,
+      tick: this.clock.readMonotonicMs(),
+      rulesRevision: 1,
+      leaving: false,
+      endpoints: [
+        {
+          name,
+          service,
+          state: 'serving',
+          running: this.admission.countRunning(),
+          queued: this.admission.countWaiting(),
+          slots,
+          kvUsePermille: 0,
+          weightVersion: 1,
+          queuedTokens: 0,
+          tokensPerSecond: 0,
+        },
+      ],
+    };
+  }
+}
--- /dev/null
+++ b/packages/bench/src/fake_endpoint.ts
@@ -0,0 +1,127 @@
+/**
+ * A small fake of an endpoint: limited slots, a prefix cache, speed that
+ * falls when more runs than it batches well, and a version for each trainer.
+ */
+import type {ScheduledAction, VirtualClock} from './virtual_clock';
+
+/** Tokens a second that an engine generates for each run. */
+export const TOKENS_PER_SECOND = 40;
+const PREFILL_MISS_MS = 400;
+const PREFILL_HIT_MS = 20;
+const CACHED_PREFIXES = 12;
+
+/** Requests that an engine batches at full speed. */
+export const ENGINE_BATCH = 8;
+/** Calls that a plain service runs at full speed. */
+export const PLAIN_BATCH = 4;
+
+/** Work for a fake endpoint. */
+export interface FakeRun {
+  /** Tokens to generate; 0 for a plain call. */
+  readonly tokens: number;
+  /** Service time of a plain call in ms. */
+  readonly plainMs: number;
+  readonly prefixKey: string;
+  /** Trainer whose weights generate; empty for serving calls. */
+  readonly trainer: string;
+}
+
+/** How a run ended. */
+export interface FakeRunEnd {
+  readonly isWhole: boolean;
+  /** Oldest version that took part. */
+  readonly version: number;
+  readonly isPrefixHit: boolean;
+}
+
+/** A run under way. */
+export interface FakeHandle {
+  readonly action: ScheduledAction;
+  readonly fail: () => void;
+}
+
+/** One endpoint. */
+export class FakeEndpoint {
+  private readonly prefixes = new Set<string>();
+  private readonly versions = new Map<string, number>();
+  private readonly handles = new Set<FakeHandle>();
+  private isDown = false;
+
+  private constructor(
+    private readonly clock: VirtualClock,
+    private readonly batch: number,
+    /** Multiple of the ordinary time that everything takes. */
+    private readonly slowness: number,
+  ) {}
+
+  /** Builds an idle endpoint. */
+  static create(
+    clock: VirtualClock,
+    batch: number,
+    slowness: number,
+  ): FakeEndpoint {
+    return new FakeEndpoint(clock, batch, slowness);
+  }
+
+  /** Starts a run; the listener hears once how it ended. */
+  startRun(run: FakeRun, onEnd: (end: FakeRunEnd) => void): FakeHandle {
+    const version = this.versions.get(run.trainer) ?? 0;
+    const isPrefixHit = this.touchPrefix(run.prefixKey);
+    const durationMs = this.computeDurationMs(run, isPrefixHit);
+    const finish = (isWhole: boolean) => {
+      handle.action.isCancelled = true;
+      if (this.handles.delete(handle)) onEnd({isWhole, version, isPrefixHit});
+    };
+    const action = this.clock.schedule(durationMs, () => finish(true));
+    const handle: FakeHandle = {action, fail: () => finish(false)};
+    this.handles.add(handle);
+    return handle;
+  }
+
+  /** Stops a run without an end. */
+  cancelRun(handle: FakeHandle): void {
+    handle.action.isCancelled = true;
+    this.handles.delete(handle);
+  }
+
+  private computeDurationMs(run: FakeRun, isPrefixHit: boolean): number {
+    const crowding = Math.max(1, (this.handles.size + 1) / this.batch);
+    const prefillMs = isPrefixHit ? PREFILL_HIT_MS : PREFILL_MISS_MS;
+    const decodeMs = (run.tokens / TOKENS_PER_SECOND) * 1_000;
+    const engineMs = run.tokens > 0 ? prefillMs + decodeMs : 0;
+    return (run.plainMs + engineMs) * this.slowness * crowding;
+  }
+
+  private touchPrefix(prefixKey: string): boolean {
+    if (prefixKey === '') return false;
+    const isHit = this.prefixes.delete(prefixKey);
+    this.prefixes.add(prefixKey);
+    if (this.prefixes.size > CACHED_PREFIXES) {
+      const [oldest] = this.prefixes;
+      this.prefixes.delete(oldest);
+    }
+    return isHit;
+  }
+
+  /** Activates a version of a trainer's weights. */
+  setVersion(trainer: string, version: number): void {
+    this.versions.set(trainer, version);
+  }
+
+  /** Breaks off all runs and forgets the cache. */
+  crash(): void {
+    this.isDown = true;
+    this.prefixes.clear();
+    for (const handle of [...this.handles]) handle.fail();
+  }
+
+  /** Comes back empty. */
+  recover(): void {
+    this.isDown = false;
+  }
+
+  /** Tells whether the endpoint is lost. */
+  isLost(): boolean {
+    return this.isDown;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/simulation.ts
@@ -0,0 +1,269 @@
+/**
+ * One simulated run: a deployment under a scenario with a policy, from a
+ * seed. Equal arguments give equal results.
+ */
+import {
+  HEARTBEAT_INTERVAL_MS,
+  RandomSource,
+  createRandomSource,
+  hashText,
+} from '@sassafrasspan/core';
+import type {Deployment, PoolPlan} from './deployments';
+import {
+  PLAIN_MEAN_MS,
+  SERVING_MEAN_TOKENS,
+  drawPlainMs,
+  drawServingTokens,
+} from './draws';
+import {FakeAgent} from './fake_agent';
+import {
+  ENGINE_BATCH,
+  FakeEndpoint,
+  PLAIN_BATCH,
+  TOKENS_PER_SECOND,
+} from './fake_endpoint';
+import {BenchRequest, FakeEntry} from './fake_entry';
+import {FakeTrainer} from './fake_trainer';
+import {BenchNetwork} from './network';
+import type {Policy} from './policies';
+import {RunStats} from './run_stats';
+import type {Scenario, Span} from './scenarios';
+import {VirtualClock} from './virtual_clock';
+
+const ENTRY_COUNT = 2;
+const MAX_QUEUED = 64;
+const SLOWNESS = 4;
+const OLD_LOAD_MS = 2_000;
+const MAX_SWAP_DELAY_MS = 2_000;
+const SERVING_PREFIXES = 20;
+
+/** What one run is made of. */
+export interface RunPlan {
+  readonly deployment: Deployment;
+  readonly scenario: Scenario;
+  readonly policy: Policy;
+  readonly seed: number;
+  readonly durationMs: number;
+}
+
+/** One run under way. */
+export class Simulation {
+  private readonly clock = VirtualClock.create();
+  private readonly stats = RunStats.create();
+  private readonly agents = new Map<string, FakeAgent>();
+  private readonly network: BenchNetwork;
+  private readonly entries: FakeEntry[];
+  private trainers: FakeTrainer[] = [];
+  private served = 0;
+
+  private constructor(private readonly plan: RunPlan) {
+    const {deployment} = plan;
+    this.network = BenchNetwork.create(
+      this.clock,
+      this.createRandom('network'),
+      deployment.domainLatencyMs,
+    );
+    this.createAgents(deployment.enginePool);
+    this.createAgents(deployment.plainPool);
+    this.entries = deployment.domains
+      .slice(0, ENTRY_COUNT)
+      .map(domain => this.createEntry(domain));
+  }
+
+  /** Runs a plan to its end and returns its counts. */
+  static run(plan: RunPlan): RunStats {
+    const simulation = new Simulation(plan);
+    simulation.start();
+    simulation.clock.runUntil(plan.durationMs);
+    for (const trainer of simulation.trainers) {
+      trainer.closeStats(plan.durationMs);
+    }
+    return simulation.stats;
+  }
+
+  private createRandom(purpose: string): RandomSource {
+    return createRandomSource(hashText(`${this.plan.seed}/${purpose}`));
+  }
+
+  private createAgents(pool: PoolPlan): void {
+    const {scenario, policy} = this.plan;
+    const slots = pool.kind === 'engine' ? ENGINE_BATCH : PLAIN_BATCH;
+    pool.domains.forEach((failureDomain, index) => {
+      const slowness = scenario.slowEndpoints.includes(index) ? SLOWNESS : 1;
+      const name = `${pool.service}-${index + 1}`;
+      const agent = FakeAgent.create(
+        {name, failureDomain, service: pool.service, slots},
+        FakeEndpoint.create(this.clock, slots, slowness),
+        this.clock,
+        policy.createAdmission({slots, maxQueued: MAX_QUEUED}),
+      );
+      this.agents.set(name, agent);
+    });
+  }
+
+  private createEntry(failureDomain: string): FakeEntry {
+    const {deployment, policy} = this.plan;
+    return FakeEntry.create({
+      failureDomain,
+      placement: {
+        allowed: [...deployment.domains],
+        spill: [deployment.costlyDomain],
+      },
+      policy,
+      agents: this.agents,
+      network: this.network,
+      clock: this.clock,
+      random: this.createRandom(`entry/${failureDomain}`),
+      stats: this.stats,
+    });
+  }
+
+  private start(): void {
+    const {deployment, scenario} = this.plan;
+    for (const agent of this.agents.values()) this.sendReport(agent);
+    this.clock.repeat(HEARTBEAT_INTERVAL_MS, () => {
+      for (const agent of this.agents.values()) this.sendReport(agent);
+    });
+    this.scheduleDomainLoss();
+    this.clock.schedule(HEARTBEAT_INTERVAL_MS, () => {
+      if (scenario.hasRollouts) this.startTrainers();
+      this.startServing(deployment.enginePool, this.computeEngineRate());
+      this.startServing(deployment.plainPool, this.computePlainRate());
+    });
+  }
+
+  private sendReport(agent: FakeAgent): void {
+    const report = agent.createReport();
+    const delayMs = this.isWithin(this.plan.scenario.platformDown)
+      ? OLD_LOAD_MS
+      : 0;
+    for (const entry of this.entries) {
+      this.clock.schedule(delayMs, () =>
+        this.network.send(
+          agent.place.failureDomain,
+          entry.getFailureDomain(),
+          () => entry.fleet.applyReport(report, this.clock.readMonotonicMs()),
+        ),
+      );
+    }
+  }
+
+  private isWithin(span: Span | undefined): boolean {
+    if (span === undefined) return false;
+    const share = this.clock.readMonotonicMs() / this.plan.durationMs;
+    return share >= span.from && share < span.to;
+  }
+
+  private scheduleDomainLoss(): void {
+    const {scenario, deployment, durationMs} = this.plan;
+    const span = scenario.lostDomain;
+    const domain = deployment.domains.at(-1);
+    if (span === undefined || domain === undefined) return;
+    const agents = [...this.agents.values()].filter(
+      agent => agent.place.failureDomain === domain,
+    );
+    this.clock.schedule(span.from * durationMs, () => {
+      this.network.setLost(domain, true);
+      for (const agent of agents) agent.endpoint.crash();
+    });
+    this.clock.schedule(span.to * durationMs, () => {
+      this.network.setLost(domain, false);
+      for (const agent of agents) agent.restart();
+    });
+  }
+
+  private startTrainers(): void {
+    const {deployment, seed} = this.plan;
+    this.trainers = deployment.trainers.map((plan, index) =>
+      FakeTrainer.create({
+        plan,
+        service: deployment.enginePool.service,
+        entry: this.entries[index % this.entries.length],
+        clock: this.clock,
+        stats: this.stats,
+        seed,
+        publishVersion: (trainer, version) =>
+          this.publishVersion(trainer, version),
+      }),
+    );
+  }
+
+  private publishVersion(trainer: string, version: number): boolean {
+    if (this.isWithin(this.plan.scenario.platformDown)) return false;
+    const {service} = this.plan.deployment.enginePool;
+    const random = this.createRandom(`swap/${trainer}/${version}`);
+    for (const agent of this.agents.values()) {
+      if (agent.place.service !== service) continue;
+      this.clock.schedule(random() * MAX_SWAP_DELAY_MS, () =>
+        agent.endpoint.setVersion(trainer, version),
+      );
+    }
+    return true;
+  }
+
+  private computeEngineRate(): number {
+    const {enginePool} = this.plan.deployment;
+    const tokens = enginePool.domains.length * ENGINE_BATCH * TOKENS_PER_SECOND;
+    return (this.plan.scenario.engineLoad * tokens) / SERVING_MEAN_TOKENS;
+  }
+
+  private computePlainRate(): number {
+    const {plainPool} = this.plan.deployment;
+    const slots = plainPool.domains.length * PLAIN_BATCH;
+    return (this.plan.scenario.plainLoad * slots * 1_000) / PLAIN_MEAN_MS;
+  }
+
+  private startServing(pool: PoolPlan, ratePerSecond: number): void {
+    const random = this.createRandom(`arrivals/${pool.service}`);
+    const receiveCall = () => {
+      this.serveCall(pool, random);
+      const gapMs = (-Math.log(1 - random()) * 1_000) / ratePerSecond;
+      this.clock.schedule(gapMs, receiveCall);
+    };
+    this.clock.schedule(0, receiveCall);
+  }
+
+  private serveCall(pool: PoolPlan, random: RandomSource): void {
+    this.served += 1;
+    const requestId = `serving/${this.plan.seed}/${this.served}`;
+    const entry = this.entries[Math.floor(random() * this.entries.length)];
+    const prefix = Math.floor(random() * SERVING_PREFIXES);
+    const stats = this.stats.getServing(pool.service);
+    const startMs = this.clock.readMonotonicMs();
+    const {clientLatencyMs} = this.plan.deployment;
+    stats.offered += 1;
+    entry.submit(createServingRequest(requestId, pool, prefix), answer => {
+      if (answer.kind !== undefined) {
+        stats.refused += 1;
+        return;
+      }
+      const waitedMs = this.clock.readMonotonicMs() - startMs;
+      const latencyMs = waitedMs + 2 * clientLatencyMs;
+      stats.latenciesMs.push(latencyMs);
+      if (latencyMs <= pool.budgetMs) stats.inTime += 1;
+    });
+  }
+}
+
+function createServingRequest(
+  requestId: string,
+  pool: PoolPlan,
+  prefix: number,
+): BenchRequest {
+  const isEngine = pool.kind === 'engine';
+  const tokens = isEngine ? drawServingTokens(requestId) : 0;
+  return {
+    requestId,
+    service: pool.service,
+    customer: pool.customer,
+    run: {
+      tokens,
+      plainMs: isEngine ? 0 : drawPlainMs(requestId),
+      prefixKey: isEngine ? `${pool.service}/${prefix}` : '',
+      trainer: '',
+    },
+    expectedTokens: isEngine ? SERVING_MEAN_TOKENS : 1,
+    priority: 0,
+    budgetMs: pool.budgetMs,
+  };
+}
