--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -24,7 +24,7 @@
   hashText,
 } from '@sassafrasspan/core';
 import {RunRequest, encodeWork} from '@sassafrasspan/nodes';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
+import {EventLog, Metrics, SYSTEM_SCHEDULER} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import type {NodeDirectory} from './node_directory';
 import {AttemptEnd, RunAttempt} from './run_attempt';
@@ -63,8 +63,18 @@
   readonly budgetMs: number;
   /** 0 is served first. */
   readonly priority: number;
+  /** Oldest weight version that may run the work; without it any. */
+  readonly minVersion?: number;
+  /**
+   * Takes the name of the agent that keeps the whole answer until it is
+   * acknowledged; without it the answer is acknowledged at its end.
+   */
+  readonly keepAnswer?: (agent: string) => void;
 }
 
+/** Attempts that may end because agent and entry held other rules. */
+const MAX_RULES_RETRIES = 3;
+
 /** What a dispatcher is built from. */
 export interface DispatcherOptions {
   readonly entry: string;
@@ -162,11 +172,16 @@
       if (chosen.isErr()) return withOutcome(chosen.error, outcome);
       const ended = await this.runAttempt(state, chosen.value, number);
       if (ended.type === 'whole') {
+        state.request.keepAnswer?.(chosen.value.agent);
         this.retryBudget.recordSuccess();
         state.sink.finish(ended.end);
         return undefined;
       }
       if (ended.outcome !== 'not-run') outcome = ended.outcome;
+      if (ended.error.kind === 'stale-rules' && number <= MAX_RULES_RETRIES) {
+        await this.options.directory.reconcileRules(chosen.value.agent);
+        continue;
+      }
       const error = withOutcome(ended.error, outcome);
       if (!this.prepareRetry(state, chosen.value, ended, number)) return error;
       const {requestId} = state.request;
@@ -198,7 +213,9 @@
       excluded: state.excluded,
       avoidDomain: state.avoidDomain,
     };
-    const serving = this.options.fleet.listServing(request.service, nowMs);
+    const serving = this.options.fleet
+      .listServing(request.service, nowMs)
+      .filter(item => item.weightVersion >= (request.minVersion ?? 0));
     const {random} = this.options;
     const chosen = chooseEndpoint(route, serving, random);
     if (chosen.isOk() || state.avoidDomain === undefined) return chosen;
@@ -235,13 +252,18 @@
     const attempt = RunAttempt.create({
       agent,
       request: this.createRunRequest(state, target, number),
+      keepsAnswer: state.request.keepAnswer !== undefined,
       sink: {
-        setHead: head => state.sink.setHead(head),
+        setHead: head => {
+          state.hasBytes = true;
+          state.sink.setHead(head);
+        },
         appendChunk: chunk => {
           state.hasBytes = true;
           state.sink.appendChunk(chunk);
         },
       },
+      scheduler: SYSTEM_SCHEDULER,
       onResume: reason =>
         this.options.log.writeEvent('answer-resumed', {requestId, reason}),
     });
@@ -275,7 +297,7 @@
       idempotencyKey: request.idempotencyKey,
       fingerprint: request.fingerprint,
       expectedTokens: request.expectedTokens,
-      minVersion: 0,
+      minVersion: request.minVersion ?? 0,
       entry: this.options.entry,
       prefixKey: request.prefixKey,
       work: encodeWork(request.work),
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -1,17 +1,12 @@
 /** The entry: composition of its parts, start and graceful stop. */
 import {randomUUID} from 'node:crypto';
 import {createCallerRoutes} from '@sassafrasspan/callers';
-import {
-  FleetView,
-  HEARTBEAT_INTERVAL_MS,
-  Quarantine,
-  RulesHolder,
-} from '@sassafrasspan/core';
-import {EntryHeartbeat, MessageWriter, NodeServer} from '@sassafrasspan/nodes';
+import {FleetView, Quarantine, RulesHolder} from '@sassafrasspan/core';
+import {EntryHeartbeat, NodeServer} from '@sassafrasspan/nodes';
 import {ObjectClient, VmListClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
-  EventLog,
+  DecisionLog,
   HttpServer,
   ListenAddress,
   Metrics,
@@ -21,6 +16,7 @@
 } from '@sassafrasspan/runtime';
 import {ScoringClient, ScoringService} from '@sassafrasspan/scoring';
 import {TrainerBackend, createTrainerRoutes} from '@sassafrasspan/trainers';
+import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
 import {createOperatorsRoutes} from '../shared/operators_routes';
 import {RulesFeed, createRulesReply} from '../shared/rules_feed';
@@ -29,6 +25,7 @@
 import {EntryCallers} from './entry_callers';
 import {NodeDirectory} from './node_directory';
 import {createMissingScoring} from './step_runner';
+import {StepPool} from './step_pool';
 import {StepService} from './step_service';
 import {VersionPublisher} from './version_publisher';
 
@@ -45,7 +42,7 @@
 /** A running entry. */
 export class EntryProcess {
   private readonly incarnation = randomUUID();
-  private readonly log: EventLog;
+  private readonly log: DecisionLog;
   private readonly metrics = Metrics.create();
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
@@ -61,19 +58,27 @@
   private readonly callersServer: HttpServer;
   private readonly operatorsServer: HttpServer;
   private readonly scoring: ReadonlyMap<string, ScoringService>;
+  private readonly heartbeats = HeartbeatStreams.create(() =>
+    this.createHeartbeat(),
+  );
   private readonly timers: NodeJS.Timeout[] = [];
   private isLeaving = false;
 
   private constructor(private readonly settings: EntrySettings) {
     const {name, log} = settings;
-    this.log = createEventLog({node: name, role: 'entry', level: log.level});
+    this.log = DecisionLog.create({
+      log: createEventLog({node: name, role: 'entry', level: log.level}),
+      clock: SYSTEM_CLOCK,
+    });
     this.store = ObjectClient.create(settings.platform.objectsUrl);
     this.feed = RulesFeed.create({
       store: this.store,
       holder: this.rules,
+      clock: SYSTEM_CLOCK,
       random: Math.random,
       log: this.log,
     });
+    this.rules.addListener(() => this.heartbeats.sendNow());
     this.scoring = new Map(
       settings.scoring.map(item => [item.name, ScoringClient.create(item.url)]),
     );
@@ -94,7 +99,7 @@
       ...settings.limits,
     });
     this.peerServer = NodeServer.createEntry({
-      watch: (_request, writer) => this.streamHeartbeats(writer),
+      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       forwardStep: call => this.steps.answerForwarded(call),
     });
@@ -108,6 +113,8 @@
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
         metrics: this.metrics,
+        node: name,
+        decisions: this.log,
         isReady: () => this.isReady(),
         describeStatus: () => this.describeStatus(),
       }),
@@ -163,7 +170,7 @@
   }
 
   private isReady(): boolean {
-    return this.rules.getBook() !== undefined && !this.isLeaving;
+    return this.feed.isSettled() && !this.isLeaving;
   }
 
   private createDirectory(): NodeDirectory {
@@ -177,6 +184,7 @@
       feed: this.feed,
       quarantine: this.quarantine,
       clock: SYSTEM_CLOCK,
+      random: Math.random,
       log: this.log,
     });
   }
@@ -199,38 +207,33 @@
   private createSteps(): StepService {
     return StepService.create({
       entry: this.settings.name,
+      incarnation: this.incarnation,
       directory: this.directory,
       dispatcher: this.dispatcher,
       store: this.store,
       rules: this.rules,
+      clock: SYSTEM_CLOCK,
       log: this.log,
+      pool: StepPool.create({fleet: this.fleet, clock: SYSTEM_CLOCK}),
       findScoring: name => this.scoring.get(name) ?? createMissingScoring(name),
-      readConcurrency: service => this.countSlots(service),
     });
   }
 
-  private countSlots(service: string): number {
-    const nowMs = SYSTEM_CLOCK.readMonotonicMs();
-    const serving = this.fleet.listServing(service, nowMs);
-    return serving.reduce((sum, endpoint) => sum + endpoint.slots, 0);
-  }
-
   private createTrainerBackend(): TrainerBackend {
     return {
       authenticate: keySha256 => this.callers.authenticate(keySha256),
       putStep: (name, description) => this.steps.putStep(name, description),
       pullSamples: (name, pull) => this.steps.pullSamples(name, pull),
-      publishVersion: item => this.publisher.publishVersion(item),
+      publishVersion: async item => {
+        const published = await this.publisher.publishVersion(item);
+        if (published.isErr()) return published;
+        const {service, version} = published.value;
+        await this.steps.publishVersion(service, version);
+        return published;
+      },
     };
   }
 
-  private streamHeartbeats(writer: MessageWriter<EntryHeartbeat>): void {
-    const sendHeartbeat = () => writer.send(this.createHeartbeat());
-    const timer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
-    writer.addCloseListener(() => clearInterval(timer));
-    sendHeartbeat();
-  }
-
   private createHeartbeat(): EntryHeartbeat {
     return {
       entry: this.settings.name,
@@ -253,7 +256,7 @@
       node: this.settings.name,
       role: 'entry',
       failureDomain: this.settings.failureDomain,
-      ready: this.isReady(),
+      leaving: this.isLeaving,
       rulesRevision: this.rules.getRevisionNumber(),
       openRequests: this.dispatcher.countOpen(),
       agents: this.fleet.listAgents(nowMs),
