--- a/packages/bench/src/fake_agent.ts
+++ b/packages/bench/src/fake_agent.ts
@@ -137,7 +137,7 @@
           kvUsePermille: 0,
           weightVersion: 1,
           queuedTokens: 0,
-          tokensPerSecond: 0,
+          tokensPerSecond: Math.round(this.endpoint.measureSpeed()),
         },
       ],
     };
--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -7,7 +7,9 @@
   ErrorKind,
   QueueBounds,
   QueuedWork,
+  ROLLOUT_POLICIES,
   RandomSource,
+  RolloutPolicy,
   RouteRequest,
   ServiceError,
   chooseEndpoint,
@@ -66,6 +68,7 @@
 export interface Policy {
   readonly name: string;
   readonly createRouting: () => RoutingSession;
+  readonly rollout: RolloutPolicy;
   readonly createAdmission: (bounds: QueueBounds) => Admission;
 }
 
@@ -126,21 +129,25 @@
   {
     name: 'random',
     createRouting: () => createStatelessRouting(chooseRandom),
+    rollout: ROLLOUT_POLICIES.fifo,
     createAdmission: createFirstAdmission,
   },
   {
     name: 'least-outstanding',
     createRouting: () => createStatelessRouting(chooseLeastOutstanding),
+    rollout: ROLLOUT_POLICIES.fifo,
     createAdmission: createFirstAdmission,
   },
   {
     name: 'first-landed',
     createRouting: () => createStatelessRouting(chooseFirstLanded),
+    rollout: ROLLOUT_POLICIES.fifo,
     createAdmission: createFirstAdmission,
   },
   {
     name: 'current',
     createRouting: () => createStatelessRouting(chooseEndpoint),
+    rollout: ROLLOUT_POLICIES.current,
     createAdmission: createFirstAdmission,
   },
 ];
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -8,6 +8,7 @@
   createRandomSource,
   hashText,
 } from '@sassafrasspan/core';
+import {StepPool} from '@sassafrasspan/server/step_pool';
 import type {Deployment, PoolPlan} from './deployments';
 import {
   PLAIN_MEAN_MS,
@@ -23,7 +24,7 @@
   TOKENS_PER_SECOND,
 } from './fake_endpoint';
 import {BenchRequest, FakeEntry} from './fake_entry';
-import {FakeTrainer} from './fake_trainer';
+import {FakeTrainer, FakeTrainerOptions} from './fake_trainer';
 import {BenchNetwork} from './network';
 import type {Policy} from './policies';
 import {RunStats} from './run_stats';
@@ -46,6 +47,8 @@
   readonly durationMs: number;
 }
 
+type TrainerHome = Pick<FakeTrainerOptions, 'entry' | 'pool' | 'policy'>;
+
 /** One run under way. */
 export class Simulation {
   private readonly clock = VirtualClock.create();
@@ -178,16 +181,34 @@
       FakeTrainer.create({
         plan,
         service: deployment.enginePool.service,
-        entry: this.entries[index % this.entries.length],
+        ...this.createHome(index),
         clock: this.clock,
         stats: this.stats,
         seed,
         publishVersion: (trainer, version) =>
           this.publishVersion(trainer, version),
+        readServedVersion: trainer => this.readServedVersion(trainer),
       }),
     );
   }
 
+  private createHome(index: number): TrainerHome {
+    const entry = this.entries[index % this.entries.length];
+    const {fleet} = entry;
+    return {
+      entry,
+      pool: StepPool.create({fleet, clock: this.clock}),
+      policy: this.plan.policy.rollout,
+    };
+  }
+
+  private readServedVersion(trainer: string): number {
+    const versions = [...this.agents.values()].map(agent =>
+      agent.endpoint.getVersion(trainer),
+    );
+    return Math.max(...versions);
+  }
+
   private publishVersion(trainer: string, version: number): boolean {
     if (this.isWithin(this.plan.scenario.platformDown)) return false;
     const {service} = this.plan.deployment.enginePool;
