Route by cost from corrected load, speed, distance and prefix

Change: the tracker corrects reports by own dispatches since, learns speed, ejects after failures in a row down to a floor of half a pool, and warms up returning endpoints; the chooser takes the lowest cost.

--- a/packages/bench/src/fake_entry.ts
+++ b/packages/bench/src/fake_entry.ts
@@ -3,6 +3,7 @@
  * budget around the policy under test.
  */
 import {
+  AttemptVerdict,
   DomainPlacement,
   EndpointView,
   ErrorKind,
@@ -23,6 +24,13 @@
   'deadline-unmeetable',
 ]);
 
+/** What the end of an attempt tells of its endpoint. */
+const VERDICTS: Record<AgentReply['type'], AttemptVerdict> = {
+  ended: 'whole',
+  failed: 'failed',
+  refused: 'neutral',
+};
+
 /** A request of a caller or of a rollout step. */
 export interface BenchRequest {
   readonly requestId: string;
@@ -61,6 +69,7 @@
   readonly onAnswer: (answer: BenchAnswer) => void;
   avoidDomain: string | undefined;
   attempt: number;
+  attemptedAtMs: number;
   isOver: boolean;
   target: string;
 }
@@ -98,6 +107,7 @@
       onAnswer,
       avoidDomain: undefined,
       attempt: 1,
+      attemptedAtMs: nowMs,
       isOver: false,
       target: '',
     };
@@ -143,7 +153,7 @@
     open.target = target.name;
     const {attempt} = open;
     this.fleet.addOutstanding(target.name);
-    this.routing.recordStart(target.name, this.options.clock.readMonotonicMs());
+    open.attemptedAtMs = this.options.clock.readMonotonicMs();
     const {failureDomain, network} = this.options;
     const notify = (result: AgentReply) => {
       if (open.isOver || open.attempt !== attempt) return;
@@ -211,12 +221,13 @@
     reply: AgentReply | undefined,
     open: OpenRequest,
   ): void {
+    const nowMs = this.options.clock.readMonotonicMs();
     this.fleet.removeOutstanding(endpoint);
     this.routing.recordEnd(endpoint, {
-      nowMs: this.options.clock.readMonotonicMs(),
-      isWhole: reply?.type === 'ended',
-      isFailure: reply?.type === 'failed',
-      requestId: open.request.requestId,
+      nowMs,
+      verdict: VERDICTS[reply?.type ?? 'refused'],
+      latencyMs: nowMs - open.attemptedAtMs,
+      expectedTokens: open.request.expectedTokens,
     });
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * from './rollout/step_state';
 export * from './rollout/version_tracker';
 export * from './routing/choose_endpoint';
+export * from './routing/endpoint_tracker';
 export * from './rules/rule_book';
 export * from './rules/rule_checks';
 export * from './rules/rule_schemas';
--- a/packages/core/src/routing/choose_endpoint.ts
+++ b/packages/core/src/routing/choose_endpoint.ts
@@ -1,19 +1,26 @@
 /**
- * Chooses the endpoint that a request is sent to.
- *
- * The chooser looks at the reported load, the entry's own outstanding
- * requests, the prefix that the request shares with others, and the failure
- * domains that the rules allow.
+ * Chooses the endpoint that a request is sent to: the one with the lowest
+ * cost, where cost grows with load, slowness and distance and falls where the
+ * request's prompt prefix is likely cached.
  */
 import {Result, err, ok} from 'neverthrow';
 import {ServiceError, createError} from '../errors/error_kinds';
-import type {EndpointView} from '../membership/fleet_view';
 import type {DomainPlacement} from '../rules/rule_book';
+import type {EndpointView} from '../membership/fleet_view';
 import type {RandomSource} from '../shared/clock';
 import {rankByRendezvous} from '../shared/hash';
+import type {RouteCandidate} from './endpoint_tracker';
 
-/** Load above this multiple of the mean breaks prefix affinity. */
-const AFFINITY_LOAD_FACTOR = 1.25;
+/** Cost in another failure domain, against the entry's own. */
+const REMOTE_COST = 1.1;
+/** Cost over a costly link, against the entry's own failure domain. */
+const SPILL_COST = 1.6;
+/** Cost where the prefix is likely cached, by rendezvous rank. */
+const PREFIX_COSTS: readonly number[] = [0.6, 0.8];
+/** Cost of each request that would wait, in shares of a slot. */
+const QUEUE_COST = 3;
+/** Costs within this factor of the lowest are equal. */
+const TIE_FACTOR = 1.02;
 
 /** What the chooser needs to know of a request. */
 export interface RouteRequest {
@@ -28,25 +35,26 @@
   readonly avoidDomain: string | undefined;
 }
 
+/** A candidate with its cost for one request. */
+interface CostedCandidate {
+  readonly candidate: RouteCandidate;
+  readonly cost: number;
+}
+
 /** Chooses among the endpoints that may get new work. */
 export function chooseEndpoint(
   request: RouteRequest,
-  endpoints: readonly EndpointView[],
+  candidates: readonly RouteCandidate[],
   random: RandomSource,
 ): Result<EndpointView, ServiceError> {
-  const allowed = endpoints.filter(item => isAllowed(item, request));
-  const groups = [
-    allowed.filter(item => item.failureDomain === request.ownDomain),
-    allowed.filter(item => !isSpill(item, request)),
-    allowed,
-  ];
-  const free = groups.find(group => group.some(hasFreeSlot));
-  const group = free ?? groups.find(candidates => candidates.length > 0);
-  if (group === undefined) {
+  const allowed = candidates.filter(item => isAllowed(item.endpoint, request));
+  const sound = allowed.filter(item => !item.isEjected);
+  const pool = sound.length > 0 ? sound : allowed;
+  if (pool.length === 0) {
     const detail = `no endpoint of ${request.service} takes work`;
     return err(createError('no-endpoint', detail));
   }
-  return ok(chooseInGroup(request, group, random));
+  return ok(pickCheapest(addCosts(request, pool), random));
 }
 
 function isAllowed(endpoint: EndpointView, request: RouteRequest): boolean {
@@ -56,45 +64,53 @@
   return allowed === undefined || allowed.includes(endpoint.failureDomain);
 }
 
-function isSpill(endpoint: EndpointView, request: RouteRequest): boolean {
-  return request.placement.spill.includes(endpoint.failureDomain);
+function addCosts(
+  request: RouteRequest,
+  pool: readonly RouteCandidate[],
+): CostedCandidate[] {
+  const ranked = rankPrefixHomes(request, pool);
+  return pool.map(candidate => {
+    const rank = ranked.indexOf(candidate.endpoint.name);
+    const prefixCost = PREFIX_COSTS[rank] ?? 1;
+    const distanceCost = computeDistanceCost(request, candidate.endpoint);
+    const cost = computeLoadCost(candidate) * prefixCost * distanceCost;
+    return {candidate, cost};
+  });
 }
 
-function hasFreeSlot(endpoint: EndpointView): boolean {
-  return estimateLoad(endpoint) < 1;
+function rankPrefixHomes(
+  request: RouteRequest,
+  pool: readonly RouteCandidate[],
+): string[] {
+  if (request.prefixKey === '') return [];
+  const names = pool.map(candidate => candidate.endpoint.name);
+  return rankByRendezvous(request.prefixKey, names);
 }
 
-/** Work at an endpoint per slot, from reports and own dispatches. */
-export function estimateLoad(endpoint: EndpointView): number {
-  const reported = endpoint.running + endpoint.queued;
-  const work = Math.max(reported, endpoint.outstanding);
-  return work / Math.max(1, endpoint.slots);
+/** Returns the expected time at an endpoint, 1 for an idle and usual one. */
+export function computeLoadCost(candidate: RouteCandidate): number {
+  const {endpoint, work, slowness, warmth} = candidate;
+  const slots = Math.max(1, endpoint.slots * warmth);
+  const busy = Math.min(1, work / slots);
+  const waiting = Math.max(0, work + 1 - slots) / slots;
+  return slowness * (1 + busy + QUEUE_COST * waiting);
 }
 
-function chooseInGroup(
+function computeDistanceCost(
   request: RouteRequest,
-  group: readonly EndpointView[],
-  random: RandomSource,
-): EndpointView {
-  if (request.prefixKey === '') return chooseLeastLoaded(group, random);
-  const loads = group.map(estimateLoad);
-  const mean = loads.reduce((sum, load) => sum + load, 0) / group.length;
-  const bound = Math.max(1, mean * AFFINITY_LOAD_FACTOR);
-  const names = group.map(endpoint => endpoint.name);
-  for (const name of rankByRendezvous(request.prefixKey, names)) {
-    const endpoint = group.find(item => item.name === name);
-    if (endpoint !== undefined && estimateLoad(endpoint) < bound) {
-      return endpoint;
-    }
-  }
-  return chooseLeastLoaded(group, random);
+  endpoint: EndpointView,
+): number {
+  if (endpoint.failureDomain === request.ownDomain) return 1;
+  const isSpill = request.placement.spill.includes(endpoint.failureDomain);
+  return isSpill ? SPILL_COST : REMOTE_COST;
 }
 
-function chooseLeastLoaded(
-  group: readonly EndpointView[],
+function pickCheapest(
+  costed: readonly CostedCandidate[],
   random: RandomSource,
 ): EndpointView {
-  const least = Math.min(...group.map(estimateLoad));
-  const ties = group.filter(endpoint => estimateLoad(endpoint) === least);
-  return ties[Math.floor(random() * ties.length)] ?? ties[0];
+  const least = Math.min(...costed.map(item => item.cost));
+  const ties = costed.filter(item => item.cost <= least * TIE_FACTOR);
+  const picked = ties[Math.floor(random() * ties.length)] ?? ties[0];
+  return picked.candidate.endpoint;
 }
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -4,7 +4,9 @@
  */
 import type {AnswerSink, DispatchHandle} from '@sassafrasspan/callers';
 import {
+  AttemptVerdict,
   Clock,
+  EndpointTracker,
   EndpointView,
   ErrorKind,
   FleetView,
@@ -104,6 +106,7 @@
 /** Dispatches the requests of an entry. */
 export class Dispatcher {
   private readonly retryBudget = RetryBudget.create();
+  private readonly tracker = EndpointTracker.create();
   private openRequests = 0;
 
   private constructor(private readonly options: DispatcherOptions) {}
@@ -216,11 +219,12 @@
     const serving = this.options.fleet
       .listServing(request.service, nowMs)
       .filter(item => item.weightVersion >= (request.minVersion ?? 0));
+    const candidates = this.tracker.createCandidates(serving, nowMs);
     const {random} = this.options;
-    const chosen = chooseEndpoint(route, serving, random);
+    const chosen = chooseEndpoint(route, candidates, random);
     if (chosen.isOk() || state.avoidDomain === undefined) return chosen;
     const anywhere = {...route, avoidDomain: undefined};
-    return chooseEndpoint(anywhere, serving, random);
+    return chooseEndpoint(anywhere, candidates, random);
   }
 
   /** Finds the endpoint that remembers an idempotency key. */
@@ -270,12 +274,27 @@
     state.attempt = attempt;
     const endpoint = target.name;
     this.options.log.writeEvent('request-dispatched', {requestId, endpoint});
+    const startedMs = this.options.clock.readMonotonicMs();
     this.options.fleet.addOutstanding(endpoint);
     const ended = await attempt.run();
     this.options.fleet.removeOutstanding(endpoint);
+    this.recordEnd(state.request, target, ended, startedMs);
     return ended;
   }
 
+  /** Tells the tracker what the attempt says of its endpoint. */
+  private recordEnd(
+    request: DispatchRequest,
+    target: EndpointView,
+    ended: AttemptEnd,
+    startedMs: number,
+  ): void {
+    const nowMs = this.options.clock.readMonotonicMs();
+    const latencyMs = (nowMs - startedMs) / Math.max(1, request.expectedTokens);
+    const verdict = decideVerdict(ended);
+    this.tracker.recordEnd(target.name, verdict, latencyMs, nowMs);
+  }
+
   private createRunRequest(
     state: RequestState,
     target: EndpointView,
@@ -329,6 +348,11 @@
   }
 }
 
+function decideVerdict(ended: AttemptEnd): AttemptVerdict {
+  if (ended.type === 'whole') return 'whole';
+  return CRASH_KINDS.has(ended.error.kind) ? 'failed' : 'neutral';
+}
+
 /** A request of which any attempt may have run is not stated as not run. */
 function withOutcome(error: ServiceError, outcome: Outcome): ServiceError {
   return outcome === 'not-run' ? error : {...error, outcome};
