--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -100,7 +100,7 @@
         {name, failureDomain, service: pool.service, slots},
         FakeEndpoint.create(this.clock, slots, slowness),
         this.clock,
-        policy.createAdmission({slots, maxQueued: MAX_QUEUED}),
+        policy.createAdmission({slots, maxQueued: MAX_QUEUED}, this.clock),
       );
       this.agents.set(name, agent);
     });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,6 +19,7 @@
 export * from './rules/rule_schemas';
 export * from './rules/rules_holder';
 export * from './runs/admission_queue';
+export * from './runs/fair_queue';
 export * from './runs/answer_assembler';
 export * from './runs/answer_buffer';
 export * from './runs/endpoint_driver';
--- /dev/null
+++ b/packages/core/src/routing/choose_endpoint.test.ts
@@ -0,0 +1,123 @@
+/** Choices of endpoints, as snapshots over small pools. */
+import type {EndpointView} from '../membership/fleet_view';
+import {createRandomSource} from '../shared/clock';
+import {RouteRequest, chooseEndpoint} from './choose_endpoint';
+import {EndpointTracker} from './endpoint_tracker';
+
+const REQUEST: RouteRequest = {
+  service: 'lm',
+  prefixKey: '',
+  ownDomain: 'a',
+  placement: {allowed: undefined, spill: ['c']},
+  excluded: [],
+  avoidDomain: undefined,
+};
+
+function createView(
+  name: string,
+  failureDomain: string,
+  changes: Partial<EndpointView> = {},
+): EndpointView {
+  return {
+    name,
+    service: 'lm',
+    state: 'serving',
+    running: 0,
+    queued: 0,
+    slots: 8,
+    kvUsePermille: 0,
+    weightVersion: 1,
+    queuedTokens: 0,
+    tokensPerSecond: 0,
+    agent: `agent-${name}`,
+    failureDomain,
+    incarnation: '1',
+    tick: 1,
+    outstanding: 0,
+    ...changes,
+  };
+}
+
+function choose(
+  views: readonly EndpointView[],
+  changes: Partial<RouteRequest> = {},
+  tracker = EndpointTracker.create(),
+): string {
+  const candidates = tracker.createCandidates(views, 1_000);
+  const request = {...REQUEST, ...changes};
+  const chosen = chooseEndpoint(request, candidates, createRandomSource(1));
+  return chosen.isOk() ? chosen.value.name : chosen.error.kind;
+}
+
+test('weighs load, distance, links and speed', () => {
+  const idle = [createView('a1', 'a'), createView('b1', 'b')];
+  const busy = createView('a1', 'a', {running: 6});
+  const slow = createView('a1', 'a', {tokensPerSecond: 10});
+  const fast = ['b1', 'b2'].map(name =>
+    createView(name, 'b', {tokensPerSecond: 40}),
+  );
+  expect({
+    ownDomainFirst: choose(idle),
+    busyOwnDomain: choose([busy, createView('b1', 'b')]),
+    costlyLinkLast: choose([busy, createView('c1', 'c')]),
+    costlyLinkWhenFull: choose([
+      createView('a1', 'a', {running: 8, queued: 2}),
+      createView('c1', 'c'),
+    ]),
+    slowAvoided: choose([slow, ...fast]).slice(0, 1),
+    excluded: choose(idle, {excluded: ['a1']}),
+    nothingAllowed: choose(idle, {avoidDomain: 'a', excluded: ['b1']}),
+  }).toMatchSnapshot();
+});
+
+test('keeps a prefix on one endpoint until load says otherwise', () => {
+  const names = ['a1', 'a2', 'a3', 'a4'];
+  const views = names.map(name => createView(name, 'a', {running: 2}));
+  const home = choose(views, {prefixKey: 'p'});
+  const loaded = views.map(view =>
+    view.name === home ? {...view, running: 8, queued: 4} : view,
+  );
+  expect({home, next: choose(loaded, {prefixKey: 'p'})}).toMatchSnapshot();
+});
+
+test('corrects an old report by own dispatches since', () => {
+  const tracker = EndpointTracker.create();
+  const views = [
+    createView('a1', 'a', {running: 1}),
+    createView('a2', 'a', {running: 3}),
+  ];
+  const before = choose(views, {}, tracker);
+  const sent = [{...views[0], outstanding: 4}, views[1]];
+  const after = choose(sent, {}, tracker);
+  const reported = [{...sent[0], running: 5, tick: 2}, views[1]];
+  expect([before, after, choose(reported, {}, tracker)]).toMatchSnapshot();
+});
+
+test('ejects after failures in a row, but never more than half a pool', () => {
+  const tracker = EndpointTracker.create();
+  const names = ['a1', 'a2', 'a3'];
+  const views = names.map(name => createView(name, 'a'));
+  tracker.createCandidates(views, 0);
+  for (const name of names) {
+    for (let i = 0; i < 3; i++) tracker.recordEnd(name, 'failed', 0, 100);
+  }
+  const listEjected = (nowMs: number) =>
+    tracker
+      .createCandidates(views, nowMs)
+      .filter(candidate => candidate.isEjected)
+      .map(candidate => candidate.endpoint.name);
+  expect({
+    at1s: listEjected(1_000),
+    at6s: listEjected(6_000),
+  }).toMatchSnapshot();
+});
+
+test('loads an endpoint that comes back gradually', () => {
+  const tracker = EndpointTracker.create();
+  tracker.createCandidates([createView('a1', 'a')], 0);
+  const back = [createView('a1', 'a', {incarnation: '2'})];
+  const warmth = [1_000, 5_000, 11_000, 20_000].map(
+    nowMs => tracker.createCandidates(back, nowMs)[0].warmth,
+  );
+  expect(warmth).toMatchSnapshot();
+});
--- a/packages/core/src/runs/admission_queue.ts
+++ b/packages/core/src/runs/admission_queue.ts
@@ -1,80 +1,119 @@
 /**
- * The queue of one endpoint at its agent: bounded running work, ordered
- * waiting work, and refusal of what cannot be started in time.
+ * The queue of one endpoint at its agent: bounded running work, fair waiting
+ * work, and refusal of what cannot be finished in time.
  */
+import type {ErrorKind} from '../errors/error_kinds';
+import type {Clock} from '../shared/clock';
+import {FairQueue, QueuedWork} from './fair_queue';
 
-/** Work that waits for a slot. */
-export interface QueuedWork {
-  readonly requestId: string;
-  readonly customer: string;
-  /** 0 is served first. */
-  readonly priority: number;
-  readonly expectedTokens: number;
-  /** Tick in ms by which the work must have ended. */
-  readonly deadlineTick: number;
-}
+const SMOOTHING = 0.1;
+/** Runs whose time must be known before work is refused by estimate. */
+const MIN_OBSERVED_RUNS = 8;
 
 /** Bounds of one endpoint's queue. */
 export interface QueueBounds {
-  /** Requests that the endpoint runs at once. */
+  /** Most requests that the endpoint runs at once. */
   readonly slots: number;
   readonly maxQueued: number;
 }
 
+/** Work that an endpoint runs. */
+interface RunningWork {
+  readonly work: QueuedWork;
+  readonly startedTick: number;
+}
+
 /** Waiting and running work of one endpoint. */
 export class AdmissionQueue {
-  private readonly waiting: QueuedWork[] = [];
-  private readonly running = new Map<string, QueuedWork>();
+  private readonly waiting = FairQueue.create();
+  private readonly running = new Map<string, RunningWork>();
+  /** Smoothed time of a run, in ms for an expected token. */
+  private tokenMs = 0;
+  private observedRuns = 0;
 
-  private constructor(private readonly bounds: QueueBounds) {}
+  private constructor(
+    private readonly bounds: QueueBounds,
+    private readonly clock: Clock,
+  ) {}
 
   /** Builds an empty queue. */
-  static create(bounds: QueueBounds): AdmissionQueue {
-    return new AdmissionQueue(bounds);
+  static create(bounds: QueueBounds, clock: Clock): AdmissionQueue {
+    return new AdmissionQueue(bounds, clock);
   }
 
-  /** Adds work unless the queue is full; tells whether it was added. */
-  offerWork(work: QueuedWork): boolean {
-    if (this.waiting.length >= this.bounds.maxQueued) return false;
-    const index = this.waiting.findIndex(
-      other => other.priority > work.priority,
-    );
-    if (index < 0) this.waiting.push(work);
-    else this.waiting.splice(index, 0, work);
-    return true;
+  /** Sets the customers' shares of the endpoint. */
+  setShares(shares: ReadonlyMap<string, number>): void {
+    this.waiting.setShares(shares);
+  }
+
+  /** Adds work, or returns why it is refused. */
+  offerWork(work: QueuedWork): ErrorKind | undefined {
+    if (this.waiting.count() >= this.bounds.maxQueued) return 'overloaded';
+    if (!this.canFinish(work)) return 'deadline-unmeetable';
+    this.waiting.addWork(work);
+    return undefined;
+  }
+
+  /** Estimates whether new work ends by its deadline. */
+  private canFinish(work: QueuedWork): boolean {
+    const {slots} = this.bounds;
+    const isFree = this.running.size < slots && this.waiting.count() === 0;
+    const before = isFree ? 0 : this.waiting.sumTokensBefore(work);
+    const waitMs = (before * this.getTokenMs()) / slots;
+    return this.canRunAt(work, this.clock.readMonotonicMs() + waitMs);
   }
 
-  /** Takes the next work that may start now. */
+  private canRunAt(work: QueuedWork, tick: number): boolean {
+    const runMs = work.expectedTokens * this.getTokenMs();
+    return tick + runMs <= work.deadlineTick;
+  }
+
+  private getTokenMs(): number {
+    return this.observedRuns < MIN_OBSERVED_RUNS ? 0 : this.tokenMs;
+  }
+
+  /** Takes the next work that may start now and can end in time. */
   takeNext(): QueuedWork | undefined {
     if (this.running.size >= this.bounds.slots) return undefined;
-    const next = this.waiting.shift();
-    if (next !== undefined) this.running.set(next.requestId, next);
+    const tick = this.clock.readMonotonicMs();
+    const next = this.waiting.takeNext(work => this.canRunAt(work, tick));
+    if (next !== undefined) {
+      this.running.set(next.requestId, {work: next, startedTick: tick});
+    }
     return next;
   }
 
-  /** Removes work that waits past its deadline. */
+  /** Removes waiting work that cannot end by its deadline. */
   takeExpired(tick: number): QueuedWork[] {
-    const expired = this.waiting.filter(work => work.deadlineTick <= tick);
-    for (const work of expired) this.removeWaiting(work.requestId);
-    return expired;
+    return this.waiting.takeWhere(
+      work => work.deadlineTick <= tick || !this.canRunAt(work, tick),
+    );
   }
 
   /** Removes waiting work; tells whether it was waiting. */
   removeWaiting(requestId: string): boolean {
-    const index = this.waiting.findIndex(work => work.requestId === requestId);
-    if (index < 0) return false;
-    this.waiting.splice(index, 1);
-    return true;
+    const taken = this.waiting.takeWhere(work => work.requestId === requestId);
+    return taken.length > 0;
   }
 
   /** Notes that running work has ended. */
   releaseSlot(requestId: string): void {
+    const ended = this.running.get(requestId);
+    if (ended === undefined) return;
     this.running.delete(requestId);
+    const runMs = this.clock.readMonotonicMs() - ended.startedTick;
+    this.observeRun(runMs / Math.max(1, ended.work.expectedTokens));
+  }
+
+  private observeRun(tokenMs: number): void {
+    this.observedRuns += 1;
+    const weight = Math.max(SMOOTHING, 1 / this.observedRuns);
+    this.tokenMs += weight * (tokenMs - this.tokenMs);
   }
 
   /** Returns the number of waiting requests. */
   countWaiting(): number {
-    return this.waiting.length;
+    return this.waiting.count();
   }
 
   /** Returns the number of running requests. */
@@ -84,6 +123,6 @@
 
   /** Returns the expected tokens of waiting requests. */
   sumWaitingTokens(): number {
-    return this.waiting.reduce((sum, work) => sum + work.expectedTokens, 0);
+    return this.waiting.sumTokens();
   }
 }
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -142,16 +142,16 @@
     unit: EndpointUnit,
     work: Work,
   ): ServiceError | undefined {
-    const isQueued = unit.queue.offerWork({
+    const refusal = unit.queue.offerWork({
       requestId: record.key,
       customer: request.customer,
       priority: request.priority,
       expectedTokens: request.expectedTokens,
       deadlineTick: record.admittedAtTick + request.budgetMs,
     });
-    if (!isQueued) {
-      const detail = 'the queue of the endpoint is full';
-      const error = createError('overloaded', detail);
+    if (refusal !== undefined) {
+      const detail = 'the queue of the endpoint is too long';
+      const error = createError(refusal, detail);
       this.table.refuseQueued(record, error, record.admittedAtTick);
       return error;
     }
--- a/packages/server/src/agent/endpoint_unit.ts
+++ b/packages/server/src/agent/endpoint_unit.ts
@@ -10,6 +10,7 @@
   RunHandle,
 } from '@sassafrasspan/core';
 import {EngineClient} from '@sassafrasspan/engines';
+import {SYSTEM_CLOCK} from '@sassafrasspan/runtime';
 import {ServiceClient} from '@sassafrasspan/services';
 import type {EndpointSettings} from '../shared/settings_schemas';
 
@@ -45,7 +46,7 @@
     readonly settings: EndpointSettings,
     readonly driver: EndpointDriver,
   ) {
-    this.queue = AdmissionQueue.create(settings);
+    this.queue = AdmissionQueue.create(settings, SYSTEM_CLOCK);
   }
 
   /** Builds the unit of an endpoint whose state is not known yet. */
