Give the queue of an endpoint the clock of its agent

Cause: the queue read the process's clock while its deadlines were ticks of the clock that is passed in. Ruled out: load of the machine and order of test files as such.

--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -90,7 +90,10 @@
     });
     this.rules.addListener(() => this.heartbeats.sendNow());
     this.units = new Map(
-      settings.endpoints.map(item => [item.name, EndpointUnit.create(item)]),
+      settings.endpoints.map(item => [
+        item.name,
+        EndpointUnit.create(item, SYSTEM_CLOCK),
+      ]),
     );
     this.weights = this.createWeights();
     this.watches = this.createVersionWatches();
--- a/packages/server/src/agent/endpoint_unit.ts
+++ b/packages/server/src/agent/endpoint_unit.ts
@@ -3,6 +3,7 @@
  */
 import {
   AdmissionQueue,
+  Clock,
   EndpointCondition,
   EndpointDriver,
   EndpointLoad,
@@ -10,7 +11,6 @@
   RunHandle,
 } from '@sassafrasspan/core';
 import {EngineClient} from '@sassafrasspan/engines';
-import {SYSTEM_CLOCK} from '@sassafrasspan/runtime';
 import {ServiceClient} from '@sassafrasspan/services';
 import type {EndpointSettings} from '../shared/settings_schemas';
 
@@ -45,16 +45,18 @@
   private constructor(
     readonly settings: EndpointSettings,
     readonly driver: EndpointDriver,
+    clock: Clock,
   ) {
-    this.queue = AdmissionQueue.create(settings, SYSTEM_CLOCK);
+    this.queue = AdmissionQueue.create(settings, clock);
   }
 
   /** Builds the unit of an endpoint whose state is not known yet. */
   static create(
     settings: EndpointSettings,
+    clock: Clock,
     driver = DRIVERS[settings.kind](settings.url),
   ): EndpointUnit {
-    return new EndpointUnit(settings, driver);
+    return new EndpointUnit(settings, driver, clock);
   }
 
   /** Reads the endpoint's load once. */
--- a/packages/server/src/agent/engine_swapper.fuzz.test.ts
+++ b/packages/server/src/agent/engine_swapper.fuzz.test.ts
@@ -177,6 +177,7 @@
         maxQueued: 4,
         fencing: this.checksFencing ? 'checks' : 'ignores',
       },
+      this.network,
       this.engine,
     );
     const clock = this.network;
--- a/packages/server/src/testing/run_world.ts
+++ b/packages/server/src/testing/run_world.ts
@@ -116,6 +116,7 @@
         maxQueued: 4,
         fencing: 'checks',
       },
+      this.network,
       createWorldDriver({
         network: this.network,
         random: this.random,
