--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -30,6 +30,7 @@
 export const ALIVE_INTERVAL_MS = 500;
 /** A stream without a frame for this long is lost. */
 export const SILENCE_TIMEOUT_MS = 2_000;
+const SILENCE_REASON = 'silent';
 const UNARY_TIMEOUT_MS = 1_500;
 
 /** Takes the messages of a stream until it is lost or ends. */
@@ -82,7 +83,7 @@
 export class AgentClient implements AgentPeer {
   private constructor(
     readonly address: string,
-    private readonly client: AgentNodeClient,
+    private client: AgentNodeClient,
   ) {}
 
   /** Builds a client for `host:port`. */
@@ -94,7 +95,7 @@
     request: RunRequest,
     listener: StreamListener<RunFrame>,
   ): StreamHandle {
-    return followStream(this.client.run(request), listener);
+    return this.followShared(stub => stub.run(request), listener);
   }
 
   resumeRun(
@@ -177,7 +178,28 @@
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
   ): StreamHandle {
-    return followStream(this.client.watch(request), listener);
+    return this.followShared(stub => stub.watch(request), listener);
+  }
+
+  /** Follows a stream; once it is silent, later calls connect anew. */
+  private followShared<T>(
+    start: (stub: AgentNodeClient) => ClientReadableStream<T>,
+    listener: StreamListener<T>,
+  ): StreamHandle {
+    const stub = this.client;
+    return followStream(start(stub), {
+      receiveMessage: message => listener.receiveMessage(message),
+      handleLoss: reason => {
+        if (reason === SILENCE_REASON) this.replaceStub(stub);
+        listener.handleLoss(reason);
+      },
+    });
+  }
+
+  private replaceStub(silent: AgentNodeClient): void {
+    if (this.client !== silent) return;
+    this.client = createAgentStub(this.address);
+    silent.close();
   }
 
   close(): void {
@@ -230,7 +252,7 @@
     stream.cancel();
     if (reason !== undefined) listener.handleLoss(reason);
   };
-  const notifySilence = () => endStream('silent');
+  const notifySilence = () => endStream(SILENCE_REASON);
   const timer = setTimeout(notifySilence, SILENCE_TIMEOUT_MS);
   stream.on('data', (message: T) => {
     if (isOver) return;
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -308,15 +308,20 @@
       resetAnswer: () => state.sink.reset(),
     });
     if (!isAllowed || state.isCancelled) return false;
-    if (!this.retryBudget.takeRetry()) return false;
-    state.excluded.push(target.name);
-    if (CRASH_KINDS.has(ended.error.kind)) {
+    if (!this.retryBudget.takeRetry(nowMs)) return false;
+    if (!isUnreached(ended)) state.excluded.push(target.name);
+    if (CRASH_KINDS.has(ended.error.kind) && !isUnreached(ended)) {
       state.avoidDomain = target.failureDomain;
     }
     return true;
   }
 }
 
+/** Tells whether only the connection failed, so that a new one may work. */
+function isUnreached(ended: Extract<AttemptEnd, {type: 'failed'}>): boolean {
+  return ended.error.kind === 'agent-lost' && ended.outcome === 'not-run';
+}
+
 /** Returns the fingerprint of a customer's work. */
 export function computeFingerprint(customer: string, work: Work): string {
   const text =
