Verify in the demo what it claims to show

The crash counts only with samples in work at the engine, the swap only if samples name both versions, the booking only if the service executed it once; a fault or a missing sample ends with a non-zero exit code.

--- a/packages/harness/src/demo.ts
+++ b/packages/harness/src/demo.ts
@@ -3,15 +3,22 @@
  * runs a rollout step across a weight swap and a crash, changes the rules,
  * and counts what its clients saw.
  */
-import {StepDescription, STEP_DESCRIPTION_SCHEMA} from '@sassafrasspan/core';
-import {CallerAnswer, TestTrainer, callCompletion, callEntry} from './clients';
-import {DEMO_PLAN, formatDemoRules} from './demo_plan';
+import {
+  CallerAnswer,
+  StepResult,
+  TestTrainer,
+  callCompletion,
+  callEntry,
+} from './clients';
+import {DEMO_PLAN, DEMO_STEP, DEMO_TRAINER, formatDemoRules} from './demo_plan';
+import {countExecutions, readEngineTruth} from './demo_truth';
 import {fetchStatus, waitUntil} from './node_status';
+import {runCommand} from './run_command';
 import {TestSystem} from './system';
 
 const CUSTOMER = 'kyklos';
-const STALENESS_BOUND = 1;
-const CRASH_AFTER_MS = 300;
+const CRASHED_ENGINE = 'lm-2';
+const BOOKING_PATH = '/services/booking-app/shifts/17';
 
 /** What the clients counted. */
 interface DemoTally {
@@ -23,6 +30,7 @@
   process.stdout.write(`${text}\n`);
 }
 
+/** Counts an answer that says what it should, or notes a fault. */
 function checkAnswer(
   tally: DemoTally,
   what: string,
@@ -37,105 +45,192 @@
   }
 }
 
-async function makeCalls(system: TestSystem, tally: DemoTally): Promise<void> {
-  const urls = [...system.entries.values()].map(entry => entry.callersUrl);
+function listEntryUrls(system: TestSystem): string[] {
+  return [...system.entries.values()].map(entry => entry.callersUrl);
+}
+
+async function makeCompletions(
+  system: TestSystem,
+  tally: DemoTally,
+): Promise<void> {
+  const urls = listEntryUrls(system);
   const body = {model: 'briefing-lm', prompt: 'Brief the bar', max_tokens: 40};
   const whole = await callCompletion(urls[0], CUSTOMER, body);
-  checkAnswer(tally, 'a completion', whole, '"text"');
+  checkAnswer(tally, 'a completion from a model engine', whole, '"text"');
   const streamed = await callCompletion(urls[1], CUSTOMER, {
     ...body,
     stream: true,
   });
-  checkAnswer(tally, 'a streamed completion', streamed, '[DONE]');
-  const path = '/services/booking-app/shifts/17';
-  const read = await callEntry(urls[0], CUSTOMER, path);
-  checkAnswer(tally, 'a read of the booking app', read, '/shifts/17');
-  const post = await callEntry(urls[1], CUSTOMER, path, {
+  checkAnswer(tally, 'the same, streamed', streamed, '[DONE]');
+}
+
+/** A booking is marked non-idempotent by the rules and must run once. */
+async function makeBookings(
+  system: TestSystem,
+  tally: DemoTally,
+): Promise<void> {
+  const urls = listEntryUrls(system);
+  const read = await callEntry(urls[0], CUSTOMER, BOOKING_PATH);
+  checkAnswer(tally, 'a read of a plain service', read, '/shifts/17');
+  const options = {
     method: 'POST',
+    headers: {'x-call': 'booking'},
     body: '{"waiter":"Eleni"}',
-  });
-  checkAnswer(tally, 'a booking that runs at most once', post, 'Eleni');
-}
-
-const STEP: StepDescription = STEP_DESCRIPTION_SCHEMA.parse({
-  prompts: Array.from({length: 8}, (_, index) => ({
-    prompt: `Draft the briefing for gala ${index}`,
-    maxTokens: 120,
-  })),
-  groupSize: 8,
-  scoring: 'score',
-  stalenessBound: STALENESS_BOUND,
-});
-
-async function runStep(system: TestSystem, tally: DemoTally) {
-  const urls = [...system.entries.values()].map(entry => entry.callersUrl);
-  const trainer = TestTrainer.create(CUSTOMER, 'briefs');
+  };
+  const booked = await callEntry(urls[1], CUSTOMER, BOOKING_PATH, options);
+  checkAnswer(tally, 'a booking, which may run only once', booked, 'Eleni');
+  const ran = await countExecutions(system, ['app-1', 'app-2'], 'booking');
+  printLine(`  the booking app ran the booking ${ran} time(s)`);
+  if (ran !== 1) tally.faults.push(`the booking ran ${ran} times`);
+}
+
+async function refuseStranger(
+  system: TestSystem,
+  tally: DemoTally,
+): Promise<void> {
+  const [url] = listEntryUrls(system);
+  const answer = await callEntry(url, 'stranger', BOOKING_PATH);
+  const isRefused = answer.status === 401 && answer.outcome === 'not-run';
+  if (isRefused) printLine('  a call without a known key: refused, not run');
+  else tally.faults.push(`a stranger got ${answer.status}`);
+}
+
+/** Runs a step; an engine crashes and weights are swapped while it runs. */
+async function runStep(
+  system: TestSystem,
+  tally: DemoTally,
+): Promise<StepResult> {
+  const urls = listEntryUrls(system);
+  const trainer = TestTrainer.create(CUSTOMER, DEMO_TRAINER);
   await trainer.publishVersion(urls[0], 1);
-  const put = await trainer.putStep(urls[0], 'step-1', STEP);
+  await waitUntil('version 1 on every engine', () => hasVersion(system, 1));
+  const put = await trainer.putStep(urls[0], 'step-1', DEMO_STEP);
   if (put.status !== 200) tally.faults.push(`step: ${put.text}`);
-  const pulled = trainer.pullStep(urls, 'step-1', STALENESS_BOUND);
-  await new Promise(resolve => setTimeout(resolve, CRASH_AFTER_MS));
-  printLine('  engine lm-2 crashes');
-  await system.setFaults(system.getEndpoint('lm-2'), {crash: true});
-  printLine('  the trainer publishes version 2');
+  const pulled = trainer.pullStep(urls, 'step-1', DEMO_STEP.stalenessBound);
   await trainer.publishVersion(urls[1], 2);
+  printLine('  the trainer publishes weight version 2 while samples run');
+  await crashEngine(system, tally);
   const result = await pulled;
-  const expected = STEP.prompts.length * STEP.groupSize;
-  if (result.samples.length !== expected) {
-    tally.faults.push(`${result.samples.length} of ${expected} samples`);
-  }
+  checkStep(result, tally);
   return result;
 }
 
+async function hasVersion(
+  system: TestSystem,
+  version: number,
+): Promise<boolean> {
+  const status = await fetchStatus(system.getEntry('entry-a'));
+  const engines = status.agents
+    .flatMap(agent => agent.report.endpoints)
+    .filter(endpoint => endpoint.name.startsWith('lm-'));
+  return engines.every(engine => engine.weightVersion === version);
+}
+
+/** Crashes an engine that has samples in work, and reads that it did. */
+async function crashEngine(
+  system: TestSystem,
+  tally: DemoTally,
+): Promise<void> {
+  const engine = system.getEndpoint(CRASHED_ENGINE);
+  await waitUntil(`${CRASHED_ENGINE} has samples in work`, async () => {
+    return (await readEngineTruth(engine)).running > 0;
+  });
+  await system.setFaults(engine, {crash: true});
+  let truth = {crashes: 0, broken: 0, running: 0};
+  await waitUntil(`${CRASHED_ENGINE} is back`, async () => {
+    truth = await readEngineTruth(engine);
+    return true;
+  });
+  const {crashes, broken} = truth;
+  printLine(
+    `  engine ${CRASHED_ENGINE} crashed with ${broken} samples in work`,
+  );
+  if (crashes !== 1 || broken === 0) tally.faults.push('no crash in the step');
+}
+
+/** Checks that the step is whole and that the swap happened within it. */
+function checkStep(result: StepResult, tally: DemoTally): void {
+  const expected = DEMO_STEP.prompts.length * DEMO_STEP.groupSize;
+  const {samples} = result;
+  if (samples.length !== expected) {
+    tally.faults.push(`${samples.length} of ${expected} samples`);
+  }
+  const counts = [1, 2].map(version => {
+    const named = samples.filter(sample =>
+      sample.segments.some(segment => segment.version === version),
+    );
+    return named.length;
+  });
+  printLine(
+    `  all ${samples.length} samples are there; ${counts[0]} name version 1, ` +
+      `${counts[1]} name version 2`,
+  );
+  if (counts.includes(0)) tally.faults.push('no weight swap in the step');
+}
+
+/** Applies changed rules and waits until every node says they are in force. */
 async function changeRules(system: TestSystem): Promise<number> {
   const revision = await system.applyRules(formatDemoRules(250));
-  for (const entry of system.entries.values()) {
-    await waitUntil(`revision ${revision} at ${entry.name}`, async () => {
-      return (await fetchStatus(entry)).rulesRevision === revision;
+  const nodes = [...system.entries.values(), ...system.agents.values()];
+  for (const node of nodes) {
+    await waitUntil(`revision ${revision} at ${node.name}`, async () => {
+      return (await fetchStatus(node)).rulesRevision === revision;
     });
   }
   return revision;
 }
 
-async function countDomains(
-  system: TestSystem,
-  revision: number,
-): Promise<number> {
-  const domains = new Set<string>();
-  for (const agent of system.agents.values()) {
-    await waitUntil(`revision ${revision} at ${agent.name}`, async () => {
-      const reply = await fetch(`${agent.operatorsUrl}/status`);
-      const status = (await reply.json()) as {readonly rulesRevision: number};
-      return status.rulesRevision === revision;
-    });
-    domains.add(agent.failureDomain);
-  }
-  for (const entry of system.entries.values()) domains.add(entry.failureDomain);
-  return domains.size;
+function countDomains(system: TestSystem): number {
+  const nodes = [...system.entries.values(), ...system.agents.values()];
+  return new Set(nodes.map(node => node.failureDomain)).size;
+}
+
+/** Shows what an operator reads back. */
+async function showReport(system: TestSystem): Promise<void> {
+  const urls = [...system.entries.values()].flatMap(entry => [
+    '--node',
+    entry.operatorsUrl,
+  ]);
+  const shown = await runCommand('report', 'burn', ...urls);
+  const lines = shown.stdout.split('\n').slice(2);
+  const end = lines.indexOf('');
+  for (const line of lines.slice(0, end)) printLine(`  ${line}`);
+}
+
+async function runScenes(system: TestSystem, tally: DemoTally) {
+  printLine('Calls of a customer, through both entries:');
+  await makeCompletions(system, tally);
+  await makeBookings(system, tally);
+  await refuseStranger(system, tally);
+  printLine('A rollout step of a trainer, with an engine crash and a swap:');
+  const step = await runStep(system, tally);
+  printLine('The promises, as `sassafrasspan report burn` shows them:');
+  await showReport(system);
+  printLine('A change of the rules file:');
+  const revision = await changeRules(system);
+  printLine(`  revision ${revision} is in force in every node`);
+  return {step, revision};
 }
 
 async function runDemo(): Promise<void> {
-  printLine('Starting 2 entries, 6 agents and their stand-ins');
+  printLine('Starting 2 entries, 6 agents and stand-ins for all around them');
   const system = await TestSystem.create(DEMO_PLAN);
   const tally: DemoTally = {answered: 0, faults: []};
   try {
-    printLine('Calls, through both entries:');
-    await makeCalls(system, tally);
-    printLine('A rollout step of 64 samples:');
-    const step = await runStep(system, tally);
-    printLine(`  the trainer has ${step.samples.length} samples`);
-    printLine('A change of the rules:');
-    const revision = await changeRules(system);
-    const domains = await countDomains(system, revision);
+    const {step, revision} = await runScenes(system, tally);
     for (const fault of tally.faults) printLine(`fault: ${fault}`);
+    const isClean = step.duplicated === 0 && step.stale === 0;
+    process.exitCode = isClean && tally.faults.length === 0 ? 0 : 1;
     printLine(
       `demo: ${tally.answered} calls answered, ` +
         `${step.samples.length} samples delivered, ` +
         `${step.duplicated} duplicated, ${step.stale} stale, ` +
-        `rules revision ${revision} in force in ${domains} failure domains`,
+        `rules revision ${revision} in force in ` +
+        `${countDomains(system)} failure domains`,
     );
-    const isClean = step.duplicated === 0 && step.stale === 0;
-    process.exitCode = isClean && tally.faults.length === 0 ? 0 : 1;
+  } catch (error) {
+    printLine(`fault: ${String(error)}`);
+    process.exitCode = 1;
   } finally {
     await system.close();
   }
--- a/packages/harness/src/demo_plan.ts
+++ b/packages/harness/src/demo_plan.ts
@@ -1,4 +1,5 @@
 /** The system that the demo runs: two customers, four failure domains. */
+import {STEP_DESCRIPTION_SCHEMA} from '@sassafrasspan/core';
 import {SystemPlan, hashCustomerKey} from './system';
 
 /** Rules of the demo, with a latency promise in ms. */
@@ -13,10 +14,27 @@
   - {id: briefs, kind: trainer, trainer: briefs, customer: kyklos, service: briefing-lm, idleWeight: 0.8}  # sales, contract 2026-14
   - {id: briefs-fresh, kind: staleness, trainer: briefs, maxVersions: 1}  # training team
   - {id: confirm-fast, kind: latency, customer: kyklos, service: booking-app, percentile: 99, withinMs: ${withinMs}}  # venue sales, contract 2026-14
+  - {id: draft-fast, kind: latency, customer: kyklos, service: briefing-lm, percentile: 95, withinMs: 8000}  # venue sales, contract 2026-14
+  - {id: briefs-on-time, kind: step-time, trainer: briefs, withinS: 1140}  # coordinators, rosters before noon
+  - {id: weights-soon, kind: weights-within, service: briefing-lm, withinMs: 7000}  # training team
   - {id: post-once, kind: non-idempotent, service: booking-app, method: POST, pathPrefix: /shifts}  # coordinators, one waiter a post
 `;
 }
 
+/** Trainer of the demo. */
+export const DEMO_TRAINER = 'briefs';
+
+/** A step long enough for a crash and a swap to happen within it. */
+export const DEMO_STEP = STEP_DESCRIPTION_SCHEMA.parse({
+  prompts: Array.from({length: 24}, (_, index) => ({
+    prompt: `Draft the briefing for gala ${index + 1}`,
+    maxTokens: 220,
+  })),
+  groupSize: 8,
+  scoring: 'score',
+  stalenessBound: 1,
+});
+
 const DOMAINS = ['attica-a', 'attica-b', 'attica-c', 'attica-d'];
 
 /** Plan of the demo. */
