--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -24,6 +24,7 @@
   HttpServer,
   Metrics,
   SYSTEM_CLOCK,
+  SYSTEM_SCHEDULER,
   createEventLog,
   waitMs,
 } from '@sassafrasspan/runtime';
@@ -98,6 +99,7 @@
       units: this.units,
       quarantine: this.quarantine,
       clock: SYSTEM_CLOCK,
+      scheduler: SYSTEM_SCHEDULER,
       log: this.log,
       metrics: this.metrics,
       getRulesRevision: () => this.rules.getRevisionNumber(),
@@ -239,7 +241,10 @@
           totalLength: record.answer.getLength(),
         })),
       }),
-      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
+      watch: (request, writer) => {
+        this.feed.recordPeer(request.rulesRevision);
+        this.heartbeats.addWatcher(writer);
+      },
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       fetchWeights: (request, writer) =>
         void this.weights.sendBlock(request, writer),
--- /dev/null
+++ b/packages/server/src/shared/rules_feed.fuzz.test.ts
@@ -0,0 +1,103 @@
+/**
+ * Entries and agents spread rules while the platform goes down, failure
+ * domains are cut off, connections go silent and nodes restart. The oracle
+ * sees what each node shows to operators.
+ */
+import {createRandomSource} from '@sassafrasspan/core';
+import {readFuzzParameters} from '@sassafrasspan/core/testing';
+import fc from 'fast-check';
+import {
+  FakeFleet,
+  IN_FORCE_WITHIN_MS,
+  Mechanism,
+  NODES,
+} from '../testing/rules_fleet';
+
+const FULL: Mechanism = {hasPeers: true, hasSurvey: true};
+
+/** Something that happens to the fleet. */
+type Step = (fleet: FakeFleet) => Promise<void> | void;
+
+const DOMAINS = fc.constantFrom('a', 'b', 'c');
+const NAMES = fc.constantFrom(...NODES);
+const STEPS: fc.Arbitrary<Step> = fc.oneof(
+  fc.constant<Step>(fleet => fleet.acceptRevision()),
+  fc.constant<Step>(fleet => fleet.startOutage()),
+  fc.constant<Step>(fleet => fleet.acceptInSilence()),
+  fc.constant<Step>(fleet => fleet.healAll()),
+  fc.constant<Step>(fleet => fleet.healDomains()),
+  fc.constant<Step>(fleet => fleet.checkInForce()),
+  fc
+    .record({name: NAMES, lagging: DOMAINS})
+    .map<Step>(drawn => fleet => fleet.restartBesideLagging(drawn)),
+  DOMAINS.map<Step>(domain => fleet => fleet.cutDomain(domain)),
+  NAMES.map<Step>(name => fleet => fleet.restartNode(name)),
+  fc
+    .integer({min: 1, max: 2_500})
+    .map<Step>(durationMs => fleet => fleet.advance(durationMs)),
+);
+
+const SCENARIOS = fc.record({
+  seed: fc.nat(),
+  steps: fc.array(STEPS, {minLength: 5, maxLength: 20}),
+});
+
+async function advanceClock(durationMs: number): Promise<void> {
+  await jest.advanceTimersByTimeAsync(durationMs);
+}
+
+async function runScenario(
+  mechanism: Mechanism,
+  seed: number,
+  steps: readonly Step[],
+): Promise<string[]> {
+  const fleet = new FakeFleet(
+    mechanism,
+    createRandomSource(seed),
+    advanceClock,
+  );
+  await fleet.advance(IN_FORCE_WITHIN_MS);
+  for (const step of steps) await step(fleet);
+  fleet.healAll();
+  await fleet.checkInForce();
+  fleet.stop();
+  await advanceClock(200_000);
+  jest.clearAllTimers();
+  return fleet.violations;
+}
+
+async function collectViolations(mechanism: Mechanism): Promise<string[]> {
+  const found: string[] = [];
+  const property = fc.asyncProperty(SCENARIOS, async ({seed, steps}) => {
+    found.push(...(await runScenario(mechanism, seed, steps)));
+  });
+  await fc.assert(property, readFuzzParameters(9_002, 60));
+  return [...new Set(found.map(violation => violation.split(':')[0]))];
+}
+
+describe('rules among entries and agents', () => {
+  beforeAll(() => {
+    jest.useFakeTimers();
+  });
+
+  afterAll(() => {
+    jest.useRealTimers();
+  });
+
+  test('come into force in time and never revert', async () => {
+    const property = fc.asyncProperty(SCENARIOS, async ({seed, steps}) => {
+      expect(await runScenario(FULL, seed, steps)).toEqual([]);
+    });
+    await fc.assert(property, readFuzzParameters(9_002, 60));
+  });
+
+  test('control: without a survey a restarted node reverts', async () => {
+    const found = await collectViolations({...FULL, hasSurvey: false});
+    expect(found).toEqual(['reverted']);
+  });
+
+  test('control: without peers nodes stay behind', async () => {
+    const found = await collectViolations({...FULL, hasPeers: false});
+    expect(found).toContain('behind');
+  });
+});
