Complete the stand-in engine: resume, KV export and import, cache events

Its orders and weights move to a module of their own. The stand-in weight store counts its busiest second, so that pacing can be seen, and its rate can be changed while it runs.

--- /dev/null
+++ b/packages/standins/src/engine_standin.test.ts
@@ -0,0 +1,99 @@
+/** What the stand-in engine can do beside whole completions. */
+import {EngineStandin} from './engine_standin';
+
+const TEST_TIMEOUT_MS = 20_000;
+const PROMPT = {prompt: 'Draft a briefing', max_tokens: 400, seed: 3};
+
+jest.setTimeout(TEST_TIMEOUT_MS);
+
+const started: EngineStandin[] = [];
+
+afterEach(() => {
+  for (const engine of started.splice(0)) engine.stop();
+});
+
+/** Starts an engine; returns its URL. */
+async function startEngine(options: object = {}): Promise<string> {
+  const engine = EngineStandin.create({tokenIntervalMs: 2, ...options});
+  started.push(engine);
+  const {host, port} = await engine.start({host: '127.0.0.1', port: 0});
+  return `http://${host}:${port}`;
+}
+
+function sendCall(url: string, body: object, signal?: AbortSignal) {
+  return fetch(url, {
+    method: 'POST',
+    headers: {'x-request-id': 'run-1'},
+    body: JSON.stringify(body),
+    signal,
+  });
+}
+
+/** Joins the text of streamed events. */
+function joinText(stream: string): string {
+  return stream
+    .split('\n\n')
+    .filter(event => event.startsWith('data: {'))
+    .map(event => JSON.parse(event.slice('data: '.length)).choices[0].text)
+    .join('');
+}
+
+/** Reads a stream until it holds some words, then breaks it off. */
+async function readBeginning(url: string): Promise<string> {
+  const broken = new AbortController();
+  const reply = await sendCall(`${url}/v1/completions`, PROMPT, broken.signal);
+  let text = '';
+  const reader = reply.body?.getReader();
+  while (text.split('\n\n').length < 6) {
+    const part = await reader?.read();
+    text += Buffer.from(part?.value ?? []).toString();
+  }
+  broken.abort();
+  return joinText(text);
+}
+
+async function readWhole(url: string): Promise<string> {
+  const reply = await sendCall(`${url}/v1/completions`, PROMPT);
+  return joinText(await reply.text());
+}
+
+test('a broken stream is resumed where its caller stopped', async () => {
+  const url = await startEngine();
+  const whole = await readWhole(url);
+  await sendCall(`${url}/admin/faults`, {keepBroken: true});
+  const beginning = await readBeginning(url);
+  const from = beginning.trim().split(' ').length;
+  let rest = await sendCall(`${url}/v1/resume`, {requestId: 'run-1', from});
+  while (rest.status === 404) {
+    rest = await sendCall(`${url}/v1/resume`, {requestId: 'run-1', from});
+  }
+  expect(beginning + joinText(await rest.text())).toBe(whole);
+});
+
+test('a generation moves to another engine with its state', async () => {
+  const [from, to] = [await startEngine(), await startEngine()];
+  const whole = await readWhole(to);
+  const first = await sendCall(`${from}/v1/completions`, PROMPT);
+  const moved = await sendCall(`${from}/kv/export`, {requestId: 'run-1'});
+  const snapshot = (await moved.json()) as {readonly next: number};
+  const rest = await sendCall(`${to}/kv/import`, snapshot);
+  const parts = [joinText(await first.text()), joinText(await rest.text())];
+  expect(parts.join('')).toBe(whole);
+  expect(parts[0].trim().split(' ').filter(Boolean)).toHaveLength(
+    snapshot.next,
+  );
+});
+
+test('cache events come with gaps, and late', async () => {
+  const url = await startEngine({cachedPrompts: 1});
+  await sendCall(`${url}/admin/faults`, {dropCacheEvery: 3});
+  for (const prompt of ['a', 'b', 'c']) {
+    const body = {prompt, max_tokens: 1};
+    await (await sendCall(`${url}/v1/completions`, body)).text();
+  }
+  const read = async () =>
+    (await (await fetch(`${url}/cache-events?after=1`)).json()) as object;
+  expect(await read()).toMatchSnapshot();
+  await sendCall(`${url}/admin/faults`, {cacheEventLagMs: 3_600_000});
+  expect(await read()).toEqual({events: []});
+});
--- a/packages/standins/src/engine_standin.ts
+++ b/packages/standins/src/engine_standin.ts
@@ -14,40 +14,26 @@
   sendJson,
 } from '@sassafrasspan/runtime';
 import {z} from 'zod';
+import {CacheEventFeed} from './cache_event_feed';
+import {
+  ENGINE_FAULTS_SCHEMA,
+  ENGINE_OPTIONS_SCHEMA,
+  EngineOptions,
+} from './engine_options';
 import {generateWords} from './engine_generation';
+import {EngineWeights} from './engine_weights';
+import {
+  EXPORT_SCHEMA,
+  GENERATION_SNAPSHOT_SCHEMA,
+  GenerationSnapshot,
+  RESUME_SCHEMA,
+  copyGeneration,
+} from './generation_snapshot';
 import {PrefixCache} from './prefix_cache';
 
 const CRASH_MARK = '[[crash]]';
 const MAX_BODY_BYTES = 1_048_576;
-const HTTP_CONFLICT = 409;
-const HTTP_FAILED = 500;
-
-/** Schema of the options of a stand-in engine. */
-export const ENGINE_OPTIONS_SCHEMA = z.strictObject({
-  slots: z.number().int().positive().default(8),
-  tokenIntervalMs: z.number().positive().default(5),
-  cachedPrompts: z.number().int().positive().default(16),
-  fencing: z.enum(['checks', 'ignores']).default('checks'),
-  loadLagMs: z.number().nonnegative().default(200),
-  /** Time for which the engine is away after a crash, in ms. */
-  restartMs: z.number().nonnegative().default(500),
-  activateMs: z.number().nonnegative().default(20),
-});
-
-/** Options of a stand-in engine. */
-export type EngineOptions = z.infer<typeof ENGINE_OPTIONS_SCHEMA>;
-
-/** Schema of the faults that an admin call sets. */
-const FAULTS_SCHEMA = z.strictObject({
-  /** The next activation fails and leaves the version unknown. */
-  failNextSwap: z.boolean().optional(),
-  /** The next stream ends after this many tokens, without its end. */
-  closeEarlyAfter: z.number().int().nullable().optional(),
-  /** Generation stands still. */
-  stalled: z.boolean().optional(),
-  /** Crash now. */
-  crash: z.boolean().optional(),
-});
+const HTTP_NOT_FOUND = 404;
 
 const COMPLETION_SCHEMA = z.object({
   prompt: z.string(),
@@ -56,23 +42,10 @@
   priority: z.number().int().default(0),
 });
 
-const ORDER_SCHEMA = z.object({
-  kind: z.enum(['stage', 'activate']),
-  version: z.number().int(),
-  source: z.string(),
-  fencing: z.number().int(),
-});
-
 /** A generation that runs or waits. */
-interface Generation {
-  readonly requestId: string;
-  readonly prompt: string;
-  readonly words: readonly string[];
-  readonly priority: number;
+interface Generation extends GenerationSnapshot {
   readonly response: ServerResponse;
-  readonly versions: number[];
   isCached: boolean;
-  next: number;
 }
 
 /** What the engine did for one request, as the truth for oracles. */
@@ -93,18 +66,22 @@
   private waiting: Generation[] = [];
   private readonly records = new Map<Generation, ExecutionRecord>();
   private readonly history: ExecutionRecord[] = [];
-  private version: number | null = 0;
-  private staged = 0;
-  private newestFencing = 0;
+  private readonly weights: EngineWeights;
   private crashes = 0;
   private timer: NodeJS.Timeout | undefined;
   private reportedLoad: unknown = undefined;
-  private failNextSwap = false;
   private closeEarlyAfter: number | null = null;
   private isStalled = false;
+  private isKeepingBroken = false;
+  private readonly broken = new Map<string, GenerationSnapshot>();
+  private readonly cacheEvents = CacheEventFeed.create();
 
   private constructor(private readonly options: EngineOptions) {
     this.cache = PrefixCache.create(options.cachedPrompts);
+    this.weights = EngineWeights.create({
+      ...options,
+      onSwap: () => this.clearCache(),
+    });
     this.server = this.createServer();
   }
 
@@ -143,7 +120,31 @@
       {
         method: 'POST',
         path: '/orders',
-        handler: exchange => this.takeOrder(exchange),
+        handler: exchange => this.weights.takeOrder(exchange),
+      },
+      {
+        method: 'POST',
+        path: '/v1/resume',
+        handler: exchange => this.resumeStream(exchange),
+      },
+      {
+        method: 'POST',
+        path: '/kv/export',
+        handler: exchange => this.exportGeneration(exchange),
+      },
+      {
+        method: 'POST',
+        path: '/kv/import',
+        handler: exchange => this.importGeneration(exchange),
+      },
+      {
+        method: 'GET',
+        path: '/cache-events',
+        handler: ({response, url}) => {
+          const after = Number(url.searchParams.get('after') ?? 0);
+          const events = this.cacheEvents.listEvents(after, Date.now());
+          sendJson(response, 200, {events});
+        },
       },
       {
         method: 'POST',
@@ -168,16 +169,22 @@
     }
     const {prompt, seed, priority} = parsed.data;
     const maxTokens = parsed.data.max_tokens;
-    const generation: Generation = {
+    const state: GenerationSnapshot = {
       requestId: String(request.headers['x-request-id'] ?? ''),
       prompt,
       words: generateWords({prompt, seed, maxTokens}),
       priority,
-      response,
       versions: [],
-      isCached: false,
       next: 0,
     };
+    this.startGeneration(state, response);
+  }
+
+  private startGeneration(
+    state: GenerationSnapshot,
+    response: ServerResponse,
+  ): void {
+    const generation: Generation = {...state, response, isCached: false};
     this.recordStart(generation);
     response.writeHead(200, {'content-type': 'text/event-stream'});
     response.flushHeaders();
@@ -187,6 +194,44 @@
     this.fillSlots();
   }
 
+  /** Sends again what a broken stream has missed, and goes on. */
+  private async resumeStream({request, response}: HttpExchange): Promise<void> {
+    const json = await readJsonBody(request, MAX_BODY_BYTES);
+    const call = RESUME_SCHEMA.parse(json.unwrapOr(undefined));
+    const kept = this.broken.get(call.requestId);
+    if (kept === undefined) {
+      return sendJson(response, HTTP_NOT_FOUND, {error: 'no such stream'});
+    }
+    this.broken.delete(call.requestId);
+    this.startGeneration(kept, response);
+    for (let index = call.from; index < kept.next; index++) {
+      sendWord(response, kept.words[index], kept.versions[index]);
+    }
+  }
+
+  /** Ends a generation here and hands its state to the caller. */
+  private async exportGeneration(exchange: HttpExchange): Promise<void> {
+    const {request, response} = exchange;
+    const json = await readJsonBody(request, MAX_BODY_BYTES);
+    const {requestId} = EXPORT_SCHEMA.parse(json.unwrapOr(undefined));
+    const found = this.running.find(one => one.requestId === requestId);
+    if (found === undefined) {
+      return sendJson(response, HTTP_NOT_FOUND, {error: 'no such run'});
+    }
+    const snapshot = copyGeneration(found);
+    this.removeGeneration(found);
+    found.response.end();
+    sendJson(response, 200, snapshot);
+  }
+
+  /** Goes on with a generation that another engine has exported. */
+  private async importGeneration(exchange: HttpExchange): Promise<void> {
+    const json = await readJsonBody(exchange.request, MAX_BODY_BYTES);
+    const value = json.unwrapOr(undefined);
+    const snapshot = GENERATION_SNAPSHOT_SCHEMA.parse(value);
+    this.startGeneration(snapshot, exchange.response);
+  }
+
   private recordStart(generation: Generation): void {
     const record: ExecutionRecord = {
       requestId: generation.requestId,
@@ -202,25 +247,45 @@
     while (this.running.length < this.options.slots) {
       const next = this.waiting.shift();
       if (next === undefined) return;
-      next.isCached = this.cache.touchPrompt(next.prompt);
+      next.isCached = this.touchCache(next.prompt);
       this.running.push(next);
     }
   }
 
+  private touchCache(prompt: string): boolean {
+    const addEvent = (kind: 'stored' | 'evicted', subject: string) =>
+      this.cacheEvents.addEvent(kind, subject, Date.now());
+    const isHit = this.cache.touchPrompt(prompt, oldest =>
+      addEvent('evicted', oldest),
+    );
+    if (!isHit) addEvent('stored', prompt);
+    return isHit;
+  }
+
+  private clearCache(): void {
+    this.cache.clear();
+    this.cacheEvents.addEvent('cleared', '', Date.now());
+  }
+
   private removeGeneration(generation: Generation): void {
     this.running = this.running.filter(other => other !== generation);
     this.waiting = this.waiting.filter(other => other !== generation);
     const record = this.records.get(generation);
-    if (record?.ended === 'running') record.ended = 'broken';
+    if (record?.ended === 'running') {
+      record.ended = 'broken';
+      if (this.isKeepingBroken) {
+        this.broken.set(generation.requestId, copyGeneration(generation));
+      }
+    }
     this.records.delete(generation);
     this.fillSlots();
   }
 
   private generateTokens(): void {
-    if (this.isStalled || this.version === null) return;
+    if (this.isStalled || this.weights.version === null) return;
     for (const generation of [...this.running]) {
       if (generation.prompt.includes(CRASH_MARK)) return this.crash();
-      this.generateToken(generation, this.version);
+      this.generateToken(generation, this.weights.version);
     }
   }
 
@@ -228,8 +293,7 @@
     const text = generation.words[generation.next];
     generation.next += 1;
     generation.versions.push(version);
-    const choices = [{index: 0, text, finish_reason: null}];
-    sendEvent(generation.response, {choices, weight_version: version});
+    sendWord(generation.response, text, version);
     const isEarly = this.closeEarlyAfter === generation.next;
     if (isEarly) {
       this.closeEarlyAfter = null;
@@ -262,7 +326,7 @@
     this.crashes += 1;
     this.running = [];
     this.waiting = [];
-    this.cache.clear();
+    this.clearCache();
     this.server.destroy();
     setTimeout(() => void this.restart(), this.options.restartMs);
   }
@@ -279,7 +343,7 @@
       this.reportedLoad = current;
     }, this.options.loadLagMs);
     const load = this.reportedLoad as object;
-    return {...load, weight_version: this.version};
+    return {...load, weight_version: this.weights.version};
   }
 
   private describeLoad() {
@@ -287,70 +351,24 @@
       running: this.running.length,
       waiting: this.waiting.length,
       kv_use: this.running.length / this.options.slots,
-      weight_version: this.version,
+      weight_version: this.weights.version,
       tokens_per_second: 1_000 / this.options.tokenIntervalMs,
     };
   }
 
-  private async takeOrder(exchange: HttpExchange): Promise<void> {
-    const {request, response} = exchange;
-    const json = await readJsonBody(request, MAX_BODY_BYTES);
-    const parsed = ORDER_SCHEMA.safeParse(json.unwrapOr(undefined));
-    if (!parsed.success) {
-      return sendJson(response, 400, {error: parsed.error.message});
-    }
-    const order = parsed.data;
-    const isOld = order.fencing < this.newestFencing;
-    if (isOld && this.options.fencing === 'checks') {
-      const error = `fencing number ${this.newestFencing} is newer`;
-      return sendJson(response, HTTP_CONFLICT, {error});
-    }
-    this.newestFencing = Math.max(this.newestFencing, order.fencing);
-    const error =
-      order.kind === 'stage'
-        ? await this.stageVersion(order.version, order.source)
-        : await this.activateVersion(order.version);
-    if (error === undefined) sendJson(response, 200, {done: true});
-    else sendJson(response, HTTP_FAILED, {error});
-  }
-
-  private async stageVersion(
-    version: number,
-    source: string,
-  ): Promise<string | undefined> {
-    try {
-      const reply = await fetch(source);
-      if (!reply.ok) return `the weight store answers ${reply.status}`;
-      await reply.arrayBuffer();
-    } catch (error) {
-      return String(error);
-    }
-    this.staged = version;
-    return undefined;
-  }
-
-  private async activateVersion(version: number): Promise<string | undefined> {
-    if (this.staged !== version) return `version ${version} is not staged`;
-    await new Promise(resolve => setTimeout(resolve, this.options.activateMs));
-    if (this.failNextSwap) {
-      this.failNextSwap = false;
-      this.version = null;
-      return 'the swap failed partway';
-    }
-    this.version = version;
-    this.cache.clear();
-    return undefined;
-  }
-
   private async setFaults(exchange: HttpExchange): Promise<void> {
     const json = await readJsonBody(exchange.request, MAX_BODY_BYTES);
-    const parsed = FAULTS_SCHEMA.safeParse(json.unwrapOr(undefined));
+    const parsed = ENGINE_FAULTS_SCHEMA.safeParse(json.unwrapOr(undefined));
     if (!parsed.success) {
       return sendJson(exchange.response, 400, {error: parsed.error.message});
     }
     const faults = parsed.data;
-    this.failNextSwap = faults.failNextSwap ?? this.failNextSwap;
+    const {weights, cacheEvents} = this;
+    weights.failNextSwap = faults.failNextSwap ?? weights.failNextSwap;
     this.isStalled = faults.stalled ?? this.isStalled;
+    this.isKeepingBroken = faults.keepBroken ?? this.isKeepingBroken;
+    cacheEvents.lagMs = faults.cacheEventLagMs ?? cacheEvents.lagMs;
+    cacheEvents.dropEvery = faults.dropCacheEvery ?? cacheEvents.dropEvery;
     if (faults.closeEarlyAfter !== undefined) {
       this.closeEarlyAfter = faults.closeEarlyAfter;
     }
@@ -360,13 +378,22 @@
 
   private describeTruth() {
     return {
-      version: this.version,
+      version: this.weights.version,
       crashes: this.crashes,
       executions: this.history,
     };
   }
 }
 
+function sendWord(
+  response: ServerResponse,
+  text: string,
+  version: number,
+): void {
+  const choices = [{index: 0, text, finish_reason: null}];
+  sendEvent(response, {choices, weight_version: version});
+}
+
 function sendEvent(response: ServerResponse, value: unknown): void {
   response.write(`data: ${JSON.stringify(value)}\n\n`);
 }
--- /dev/null
+++ b/packages/standins/src/engine_weights.ts
@@ -0,0 +1,95 @@
+/**
+ * The weights of the stand-in engine: orders with fencing numbers, staging
+ * from the weight store, and swaps that can fail partway.
+ */
+import {HttpExchange, readJsonBody, sendJson} from '@sassafrasspan/runtime';
+import {z} from 'zod';
+import type {EngineOptions} from './engine_options';
+
+const MAX_BODY_BYTES = 1_048_576;
+const HTTP_CONFLICT = 409;
+const HTTP_FAILED = 500;
+
+const ORDER_SCHEMA = z.object({
+  kind: z.enum(['stage', 'activate']),
+  version: z.number().int(),
+  source: z.string(),
+  fencing: z.number().int(),
+});
+
+/** What the weights are built from. */
+export interface EngineWeightsOptions extends Pick<
+  EngineOptions,
+  'fencing' | 'activateMs'
+> {
+  /** Called when another version is active. */
+  onSwap(): void;
+}
+
+/** The weights of one engine. */
+export class EngineWeights {
+  /** Active version; null after a swap that failed partway. */
+  version: number | null = 0;
+  /** Whether the next activation fails and leaves the version unknown. */
+  failNextSwap = false;
+  private staged = 0;
+  private newestFencing = 0;
+
+  private constructor(private readonly options: EngineWeightsOptions) {}
+
+  /** Builds the weights of an engine that runs version 0. */
+  static create(options: EngineWeightsOptions): EngineWeights {
+    return new EngineWeights(options);
+  }
+
+  /** Takes an order to stage or activate a version. */
+  async takeOrder(exchange: HttpExchange): Promise<void> {
+    const {request, response} = exchange;
+    const json = await readJsonBody(request, MAX_BODY_BYTES);
+    const parsed = ORDER_SCHEMA.safeParse(json.unwrapOr(undefined));
+    if (!parsed.success) {
+      return sendJson(response, 400, {error: parsed.error.message});
+    }
+    const order = parsed.data;
+    const isOld = order.fencing < this.newestFencing;
+    if (isOld && this.options.fencing === 'checks') {
+      const error = `fencing number ${this.newestFencing} is newer`;
+      return sendJson(response, HTTP_CONFLICT, {error});
+    }
+    this.newestFencing = Math.max(this.newestFencing, order.fencing);
+    const error =
+      order.kind === 'stage'
+        ? await this.stageVersion(order.version, order.source)
+        : await this.activateVersion(order.version);
+    if (error === undefined) sendJson(response, 200, {done: true});
+    else sendJson(response, HTTP_FAILED, {error});
+  }
+
+  private async stageVersion(
+    version: number,
+    source: string,
+  ): Promise<string | undefined> {
+    try {
+      const reply = await fetch(source);
+      if (!reply.ok) return `the weight store answers ${reply.status}`;
+      await reply.arrayBuffer();
+    } catch (error) {
+      return String(error);
+    }
+    this.staged = version;
+    return undefined;
+  }
+
+  private async activateVersion(version: number): Promise<string | undefined> {
+    if (this.staged !== version) return `version ${version} is not staged`;
+    await new Promise(resolve => setTimeout(resolve, this.options.activateMs));
+    if (this.failNextSwap) {
+      this.failNextSwap = false;
+      this.version = null;
+      return 'the swap failed partway';
+    }
+    this.version = version;
+    this.options.onSwap();
+    return undefined;
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,5 @@
 /** Small stand-ins at the interfaces to outside systems. */
+export * from './engine_options';
 export * from './engine_standin';
 export * from './plain_service_standin';
 export * from './platform_standin';
--- a/packages/standins/src/prefix_cache.ts
+++ b/packages/standins/src/prefix_cache.ts
@@ -12,12 +12,13 @@
   }
 
   /** Notes a use of a prompt; tells whether it was cached. */
-  touchPrompt(prompt: string): boolean {
+  touchPrompt(prompt: string, onEvict?: (oldest: string) => void): boolean {
     const isHit = this.prompts.delete(prompt);
     this.prompts.add(prompt);
     if (this.prompts.size > this.capacity) {
       const [oldest] = this.prompts;
       this.prompts.delete(oldest);
+      onEvict?.(oldest);
     }
     return isHit;
   }
--- a/packages/standins/src/weight_store_standin.ts
+++ b/packages/standins/src/weight_store_standin.ts
@@ -4,22 +4,32 @@
   HttpExchange,
   HttpServer,
   ListenAddress,
+  readJsonBody,
   sendJson,
 } from '@sassafrasspan/runtime';
+import {z} from 'zod';
 
 const HTTP_TOO_MANY = 429;
 const WINDOW_MS = 1_000;
 const DEFAULT_FETCHES_PER_SECOND = 4;
+const MAX_BODY_BYTES = 1_048_576;
 const WEIGHTS_BYTES = 65_536;
 
+const FAULTS_SCHEMA = z.strictObject({
+  /** New rate limit. */
+  fetchesPerSecond: z.number().nonnegative().optional(),
+});
+
 /** A running stand-in weight store. */
 export class WeightStoreStandin {
   private readonly server: HttpServer;
   private recent: number[] = [];
   private fetches = 0;
   private refusals = 0;
+  /** Most fetches served within one second. */
+  private peakPerSecond = 0;
 
-  private constructor(private readonly fetchesPerSecond: number) {
+  private constructor(private fetchesPerSecond: number) {
     this.server = HttpServer.create(
       [
         {
@@ -27,12 +37,18 @@
           path: '/weights/:key',
           handler: exchange => this.sendWeights(exchange),
         },
+        {
+          method: 'POST',
+          path: '/admin/faults',
+          handler: exchange => this.setFaults(exchange),
+        },
         {
           method: 'GET',
           path: '/admin/truth',
           handler: ({response}) => {
-            const {fetches, refusals} = this;
-            sendJson(response, 200, {fetches, refusals});
+            const {fetches, refusals, peakPerSecond} = this;
+            const counts = {fetches, refusals, peakPerSecond};
+            sendJson(response, 200, counts);
           },
         },
       ],
@@ -57,6 +73,13 @@
     this.server.destroy();
   }
 
+  private async setFaults(exchange: HttpExchange): Promise<void> {
+    const json = await readJsonBody(exchange.request, MAX_BODY_BYTES);
+    const faults = FAULTS_SCHEMA.parse(json.unwrapOr(undefined));
+    this.fetchesPerSecond = faults.fetchesPerSecond ?? this.fetchesPerSecond;
+    sendJson(exchange.response, 200, {set: true});
+  }
+
   private sendWeights(exchange: HttpExchange): void {
     const nowMs = Date.now();
     this.recent = this.recent.filter(at => nowMs - at < WINDOW_MS);
@@ -67,6 +90,7 @@
     }
     this.recent.push(nowMs);
     this.fetches += 1;
+    this.peakPerSecond = Math.max(this.peakPerSecond, this.recent.length);
     exchange.response.writeHead(200, {
       'content-type': 'application/octet-stream',
     });
