--- a/packages/server/src/commands/check_file.test.ts
+++ b/packages/server/src/commands/check_file.test.ts
@@ -1,6 +1,7 @@
 /** Faults of files name file, line, key and what is expected. */
 import {readFileSync, readdirSync} from 'node:fs';
 import path from 'node:path';
+import {RULE_SCHEMAS} from '@sassafrasspan/core';
 import {formatSettingsFault} from '@sassafrasspan/runtime';
 import {parse} from 'yaml';
 import {checkFile, checkText} from './check_file';
@@ -34,6 +35,16 @@
   expect(faults.map(formatSettingsFault)).toMatchSnapshot();
 });
 
+test('the rules in OPERATIONS.md hold, with every kind once', () => {
+  const docs = path.join(EXAMPLES, '../docs/OPERATIONS.md');
+  const text = readFileSync(docs, 'utf8');
+  const rules = /```yaml\n(rules:[^`]*)```/.exec(text)?.[1] ?? '';
+  const kinds = [...rules.matchAll(/kind: ([a-z-]+)/g)].map(found => found[1]);
+  expect(new Set(kinds)).toEqual(new Set(Object.keys(RULE_SCHEMAS)));
+  const checked = checkText('OPERATIONS.md', rules);
+  expect(checked.isErr() ? checked.error : []).toEqual([]);
+});
+
 test('a file that is not there is a fault', () => {
   const checked = checkFile('missing/node.yaml');
   const faults = checked.isErr() ? checked.error : [];
