--- a/packages/harness/src/reading_back.test.ts
+++ b/packages/harness/src/reading_back.test.ts
@@ -106,6 +106,20 @@
   expect(shown.stdout).toMatch(/^kyklos briefing-lm +2 /m);
 });
 
+test('pages for operators and for callers stay at their own ports', async () => {
+  const {callersUrl, operatorsUrl} = system.getEntry('entry-a');
+  const pages = ['/status', '/metrics', '/burn', '/explain/x', '/health'];
+  for (const page of pages) {
+    const answer = await callEntry(callersUrl, 'kyklos', page);
+    expect(`${page} ${answer.status}`).toBe(`${page} 404`);
+  }
+  const body = {model: 'briefing-lm', prompt: 'Brief', max_tokens: 4};
+  const answer = await callCompletion(operatorsUrl, 'kyklos', body);
+  expect(answer.status).toBe(404);
+  const metrics = await callEntry(operatorsUrl, 'kyklos', '/metrics');
+  expect(metrics.text).toMatch(/^sassafrasspan_platform_parts_down 0$/m);
+});
+
 test('drain takes an endpoint out, and status says why', async () => {
   const drained = await runCommand('drain', 'app-1', '--wait', ...sources);
   expect(drained).toMatchSnapshot();
--- a/packages/operators/src/load/load_trainer.ts
+++ b/packages/operators/src/load/load_trainer.ts
@@ -35,6 +35,8 @@
   steps: number;
   unfinished: number;
   duplicated: number;
+  /** Slots of whole steps that failed for good. */
+  failed: number;
   idleMs: number;
   trainingMs: number;
   /** Age in versions of each sample at its delivery. */
@@ -52,6 +54,7 @@
     steps: 0,
     unfinished: 0,
     duplicated: 0,
+    failed: 0,
     idleMs: 0,
     trainingMs: 0,
     ages: [],
@@ -125,7 +128,9 @@
     const reply = PULL_REPLY_SCHEMA.parse(JSON.parse(answer.text));
     cursor = encodeURIComponent(reply.cursor);
     countSamples(tally, slots, reply, version);
-    if (reply.complete) return true;
+    if (!reply.complete) continue;
+    tally.failed += reply.failed.length;
+    return true;
   }
   return false;
 }
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -1,5 +1,7 @@
 /** What each metric says, for the help lines of the metrics page. */
 export const METRIC_HELP: Readonly<Record<string, string>> = {
+  platform_parts_down: 'Parts of the platform that do not answer this node.',
+  ready: 'Whether the node takes work: 1 or 0.',
   request_ms: 'Time from dispatch to the whole answer, by service, in ms.',
   requests_answered_total: 'Requests that were answered whole, by service.',
   requests_failed_total: 'Requests that ended with an error, by kind.',
--- a/packages/server/src/commands/drain_command.ts
+++ b/packages/server/src/commands/drain_command.ts
@@ -79,13 +79,14 @@
 export const DRAIN_COMMAND = command({
   name: 'drain',
   description:
-    'Give an endpoint, or every endpoint of an agent, no new work; what ' +
-    'runs there finishes. The agent keeps this until it is restarted.',
+    'Give an endpoint, or all of an agent, no new work; what runs finishes.',
   args: {
     target: positional({
       type: string,
       displayName: 'NODE|ENDPOINT',
-      description: 'name of an agent or of an endpoint',
+      description:
+        'name of an agent or of an endpoint; it stays drained until its ' +
+        'agent is restarted',
     }),
     wait: flag({long: 'wait', description: 'wait until nothing runs there'}),
     address: option({
--- a/packages/server/src/commands/explain_command.ts
+++ b/packages/server/src/commands/explain_command.ts
@@ -6,29 +6,28 @@
   listUnread,
 } from '@sassafrasspan/operators';
 import {command, positional, string} from 'cmd-ts';
-import {SOURCE_OPTIONS, findNodes, readSources} from './operators_sources';
+import {SOURCE_OPTIONS, findNodeUrls, readSources} from './operators_sources';
 import {EXIT_FAILED, printFailure, printFaults, printLine} from './output';
 
 /** The `explain` command. */
 export const EXPLAIN_COMMAND = command({
   name: 'explain',
-  description:
-    'Say what was decided for a request and why. REQUEST_ID is the ' +
-    "caller's own x-request-id, or the id in the answer, or a beginning of " +
-    'either. Nodes remember the newest few thousand events. Exits with 1 ' +
-    'when no node remembers the request.',
+  description: 'Say what was decided for a request and why.',
   args: {
     request: positional({
       type: string,
       displayName: 'REQUEST_ID',
-      description: 'request id or its beginning',
+      description:
+        "the caller's own x-request-id, the id in the answer, or a " +
+        'beginning of either; nodes remember the newest 8,192 events',
     }),
     ...SOURCE_OPTIONS,
   },
   handler: async args => {
     const sources = readSources(args);
     if (sources.isErr()) return printFaults(sources.error);
-    const {urls} = await findNodes(sources.value);
+    const urls = await findNodeUrls(sources.value);
+    if (urls === undefined) return;
     const path = `/explain/${encodeURIComponent(args.request)}`;
     const pages = await fetchPages(urls, path, DECISIONS_PAGE_SCHEMA);
     const nodes = pages.flatMap(({page}) => (page.isOk() ? [page.value] : []));
--- a/packages/server/src/commands/load_command.ts
+++ b/packages/server/src/commands/load_command.ts
@@ -40,10 +40,8 @@
 export const LOAD_COMMAND = command({
   name: 'load',
   description:
-    'Drive callers and trainers against entries; print latency percentiles, ' +
-    'refusals by kind, idle time of trainers and age of samples. Equal seeds ' +
-    'make equal calls. Exits with 1 when a step stays unfinished or a sample ' +
-    'comes twice.',
+    'Drive callers and trainers against entries by a seed; print latency, ' +
+    'refusals, idle time and age of samples.',
   args: {
     entries: createListOption('entry', "URL of an entry's callers' port"),
     key: option({type: string, long: 'key', description: 'API key'}),
--- a/packages/server/src/commands/operators_sources.ts
+++ b/packages/server/src/commands/operators_sources.ts
@@ -12,7 +12,10 @@
   OPERATORS_SETTINGS_SCHEMA,
   OperatorsSettings,
 } from '../shared/settings_schemas';
+import {EXIT_FAILED, EXIT_USAGE, printFailure} from './output';
 
+/** Hint when no node is named. */
+export const NO_NODES = 'expected --settings FILE or --node URL to find nodes';
 const SETTINGS_VARIABLE = 'SASSAFRASSPAN_OPERATORS';
 
 /** Options of every command that reads the system back. */
@@ -106,6 +109,19 @@
   };
 }
 
+/** Finds the nodes; without any, prints how to name them. */
+export async function findNodeUrls(
+  sources: OperatorsSources,
+): Promise<readonly string[] | undefined> {
+  const {urls, outages} = await findNodes(sources);
+  if (urls.length > 0) return urls;
+  for (const {part, detail} of outages) {
+    printFailure(`the ${part} does not answer: ${detail}`, EXIT_FAILED);
+  }
+  printFailure(NO_NODES, EXIT_USAGE);
+  return undefined;
+}
+
 function readHost(address: string): string {
   return address.slice(0, address.lastIndexOf(':'));
 }
--- a/packages/server/src/commands/report_command.ts
+++ b/packages/server/src/commands/report_command.ts
@@ -11,7 +11,7 @@
 } from '@sassafrasspan/operators';
 import {SYSTEM_CLOCK} from '@sassafrasspan/runtime';
 import {command, oneOf, option, optional, string, subcommands} from 'cmd-ts';
-import {SOURCE_OPTIONS, findNodes, readSources} from './operators_sources';
+import {SOURCE_OPTIONS, findNodeUrls, readSources} from './operators_sources';
 import {EXIT_FAILED, printFailure, printFaults, printLine} from './output';
 
 const FORMATS = ['text', 'json', 'html'] as const;
@@ -55,11 +55,14 @@
   handler: async args => {
     const sources = readSources(args);
     if (sources.isErr()) return printFaults(sources.error);
-    const {urls} = await findNodes(sources.value);
+    const urls = await findNodeUrls(sources.value);
+    if (urls === undefined) return;
     const pages = await fetchPages(urls, '/burn', BURN_PAGE_SCHEMA);
     const read = pages.flatMap(({page}) => (page.isOk() ? [page.value] : []));
     const report = createBurnReport(read);
-    writeReport(WRITERS[args.format](report), args.out);
+    if (report.entries.length > 0) {
+      writeReport(WRITERS[args.format](report), args.out);
+    }
     for (const line of listUnread(pages)) printFailure(line, EXIT_FAILED);
     const broken = report.promises.filter(item => item.state === 'broken');
     if (broken.length > 0 || read.length === 0) process.exitCode = EXIT_FAILED;
@@ -69,6 +72,6 @@
 /** The `report` command. */
 export const REPORT_COMMAND = subcommands({
   name: 'report',
-  description: 'Report on promises.',
+  description: 'Report which promises are kept or broken (report burn).',
   cmds: {burn},
 });
--- a/packages/server/src/commands/status_command.ts
+++ b/packages/server/src/commands/status_command.ts
@@ -11,6 +11,7 @@
 import {ObjectClient} from '@sassafrasspan/platform';
 import {command, flag} from 'cmd-ts';
 import {
+  NO_NODES,
   OperatorsSources,
   SOURCE_OPTIONS,
   findNodes,
@@ -56,8 +57,8 @@
 export const STATUS_COMMAND = command({
   name: 'status',
   description:
-    'Show nodes and endpoints, why an endpoint is out, and which parts of ' +
-    'the platform do not answer. Exits with 1 when no node answers.',
+    'Show nodes, endpoints and why one is out, and platform parts that are ' +
+    'down.',
   args: {
     ...SOURCE_OPTIONS,
     json: flag({long: 'json', description: 'print JSON'}),
@@ -67,8 +68,7 @@
     if (sources.isErr()) return printFaults(sources.error);
     const report = await readStatus(sources.value);
     if (report.nodes.length === 0) {
-      const hint = 'expected --settings FILE or --node URL to find nodes by';
-      return printFailure(hint, EXIT_USAGE);
+      return printFailure(NO_NODES, EXIT_USAGE);
     }
     if (args.json) printLine(JSON.stringify(report, undefined, 2));
     else printLine(formatStatusReport(report));
--- a/packages/server/src/entry/measured_backends.ts
+++ b/packages/server/src/entry/measured_backends.ts
@@ -163,7 +163,8 @@
     const {service, version, publishedAtMs} = item;
     const ageMs = nowMs - publishedAtMs;
     const engines = fleet.listEndpoints(service, nowMs);
-    const isEverywhere = engines.every(one => one.weightVersion >= version);
+    const isEverywhere =
+      engines.length > 0 && engines.every(one => one.weightVersion >= version);
     const bounds = rules.getBook()?.listRules('weights-within') ?? [];
     const bound = bounds.find(rule => rule.service === service);
     const isOverdue = bound === undefined || ageMs > bound.withinMs;
--- a/packages/server/src/shared/operators_routes.ts
+++ b/packages/server/src/shared/operators_routes.ts
@@ -44,8 +44,13 @@
     {
       method: 'GET',
       path: '/metrics',
-      handler: ({response}) =>
-        sendText(response, PROMETHEUS_TYPE, backend.metrics.formatPrometheus()),
+      handler: ({response}) => {
+        const {metrics, decisions} = backend;
+        const outages = decisions.listOutages().length;
+        metrics.setGauge('platform_parts_down', {}, outages);
+        metrics.setGauge('ready', {}, backend.isReady() ? 1 : 0);
+        sendText(response, PROMETHEUS_TYPE, metrics.formatPrometheus());
+      },
     },
     {
       method: 'GET',
