--- a/packages/core/src/rollout/staleness_forecast.ts
+++ b/packages/core/src/rollout/staleness_forecast.ts
@@ -2,6 +2,9 @@
 import type {MissingSlot, PoolSupply, StepDemand} from './step_policy';
 
 const MS_PER_SECOND = 1_000;
+/** Share of the bound that samples may wait for where idle time counts
+ * nothing. */
+const MIN_AHEAD_SHARE = 0.3;
 
 /**
  * Tells whether a slot had better not be started now.
@@ -27,6 +30,34 @@
   return (1 - step.idleWeight) * durationMs > step.idleWeight * dueMs;
 }
 
+/**
+ * Returns how many slots of a step may be started while the trainer's earlier
+ * steps are open. A sample started now is delivered after all that is before
+ * it, so that more of that makes it older. The lower the weight of idle time,
+ * the smaller the part of the bound that this wait may use up. The trainer's
+ * first open step is never held back.
+ */
+export function countAllowedAhead(
+  step: StepDemand,
+  earlier: readonly StepDemand[],
+): number {
+  if (earlier.length === 0) return step.missing.length;
+  const rates = [...earlier, step].flatMap(
+    item => item.samplesPerVersion ?? [],
+  );
+  if (rates.length === 0) return step.missing.length;
+  const {idleWeight, stalenessBound} = step;
+  const share = MIN_AHEAD_SHARE + (1 - MIN_AHEAD_SHARE) * idleWeight;
+  const ahead = Math.max(...rates) * stalenessBound * share;
+  const before = earlier.map(item => item.missing.length + countStarted(item));
+  const sum = before.reduce((total, count) => total + count, 0);
+  return Math.max(0, Math.ceil(ahead) - sum - countStarted(step));
+}
+
+function countStarted(step: StepDemand): number {
+  return step.ready + step.running.length;
+}
+
 /** Returns the time that an answer takes, in ms; 0 when not known. */
 export function predictDurationMs(tokens: number, pool: PoolSupply): number {
   if (pool.tokensPerSecond <= 0) return 0;
