Refuse waiting work of leaving endpoints and work after a pause

Entries tell an agent that the VM list gives its VM as leaving, until it says so itself. One list without an agent no longer drops it while its heartbeats come; watches back off with jitter.

--- a/packages/core/src/membership/fleet_view.ts
+++ b/packages/core/src/membership/fleet_view.ts
@@ -121,13 +121,24 @@
     );
   }
 
-  /** Finds an endpoint by name, whatever its state. */
+  /**
+   * Finds an endpoint by name, whatever its state. While a VM is replaced two
+   * agents name the endpoint; the one that is not leaving is meant.
+   */
   findEndpoint(name: string, nowMs: number): EndpointView | undefined {
-    for (const entry of this.listAlive(nowMs)) {
-      const found = entry.report.endpoints.find(item => item.name === name);
-      if (found !== undefined) return this.createView(entry.report, found);
-    }
-    return undefined;
+    const found = this.listAlive(nowMs).flatMap(entry =>
+      entry.report.endpoints
+        .filter(endpoint => endpoint.name === name)
+        .map(endpoint => this.createView(entry.report, endpoint)),
+    );
+    return found.find(view => view.state !== 'leaving') ?? found[0];
+  }
+
+  /** Tells whether an agent itself says that all of it is leaving. */
+  isLeaving(agent: string): boolean {
+    const report = this.agents.get(agent)?.report;
+    if (report === undefined || report.leaving) return report !== undefined;
+    return report.endpoints.every(endpoint => endpoint.state === 'leaving');
   }
 
   /** Lists all agents with the age of their last heartbeat in ms. */
--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -296,10 +296,14 @@
       failureDomain: node.failureDomain,
       address: this.peerRelays.get(node.name)?.getAddress() ?? node.peers,
     });
-    return [
+    const started = [
       ...[...this.entries.values()].map(describeNode('entry')),
       ...[...this.agents.values()].map(describeNode('agent')),
     ];
+    const order = listPlannedNodes(this.plan).map(node => node.name);
+    return started.sort(
+      (a, b) => order.indexOf(a.name) - order.indexOf(b.name),
+    );
   }
 
   /** Sets faults of a stand-in. */
@@ -310,9 +314,14 @@
     await sendAdmin(`${standin.url}/admin/faults`, 'POST', faults);
   }
 
-  /** Waits until every entry is ready and sees every endpoint serving. */
+  /** Waits until every node has rules and entries see every endpoint serve. */
   async waitUntilReady(): Promise<void> {
     const expected = this.plan.endpoints.length;
+    for (const agent of this.agents.values()) {
+      await waitUntil(`${agent.name} has rules`, async () => {
+        return (await fetchStatus(agent)).rulesRevision > 0;
+      });
+    }
     for (const entry of this.entries.values()) {
       await waitUntil(`${entry.name} sees ${expected} endpoints`, async () => {
         const status = await fetchStatus(entry);
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -161,8 +161,8 @@
 
   private startLeaving(): void {
     this.isLeaving = true;
-    this.runs.startDraining();
     for (const unit of this.units.values()) unit.markLeaving();
+    this.heartbeats.sendNow();
   }
 
   private isReady(): boolean {
@@ -255,16 +255,20 @@
     const units = [...this.units.values()].filter(
       unit => endpoint === '' || unit.settings.name === endpoint,
     );
-    for (const unit of units) {
-      unit.markLeaving();
-      const name = unit.settings.name;
-      this.log.writeEvent('endpoint-leaving', {endpoint: name});
-    }
+    for (const unit of units) this.markLeaving(unit);
+    this.heartbeats.sendNow();
     const running = units.map(unit => unit.queue.countRunning());
     const queued = units.map(unit => unit.queue.countWaiting());
     return {running: sumAll(running), queued: sumAll(queued)};
   }
 
+  private markLeaving(unit: EndpointUnit): void {
+    if (unit.getCondition() === 'leaving') return;
+    unit.markLeaving();
+    const endpoint = unit.settings.name;
+    this.log.writeEvent('endpoint-leaving', {endpoint});
+  }
+
   /** Refuses work that was decided under rules that are not here yet. */
   private runRequest(
     request: RunRequest,
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -7,6 +7,8 @@
   Clock,
   EndpointCondition,
   ErrorKind,
+  LeaveState,
+  PauseDetector,
   Quarantine,
   Revocation,
   RunFailure,
@@ -44,6 +46,9 @@
   'unknown-version': 'version-unknown',
 };
 
+const LATE = 'the deadline passed while the request waited';
+const MISSED_DEADLINE = createError('deadline-unmeetable', LATE);
+
 /** What the runs of an agent are built from. */
 export interface AgentRunsOptions {
   readonly incarnation: string;
@@ -65,7 +70,8 @@
 export class AgentRuns {
   private readonly table: RunTable;
   private readonly pending = new Map<string, PendingWork>();
-  private isDraining = false;
+  private readonly leaves = LeaveState.create();
+  private readonly pauses = PauseDetector.create();
 
   private constructor(private readonly options: AgentRunsOptions) {
     this.table = RunTable.create({incarnation: options.incarnation});
@@ -130,7 +136,9 @@
     if (this.options.quarantine.isQuarantined(request.fingerprint)) {
       return createError('quarantined', 'this request crashes endpoints');
     }
-    if (this.isDraining) return createError('draining', 'the agent is leaving');
+    if (this.pauses.isWaking(this.options.clock.readMonotonicMs())) {
+      return createError('stale-dispatch', 'the agent has just woken');
+    }
     const condition = unit.getCondition();
     if (condition === 'serving') return undefined;
     return createError(REFUSALS[condition], `the endpoint is ${condition}`);
@@ -164,6 +172,9 @@
   private startWaiting(endpoint: string): void {
     const unit = this.options.units.get(endpoint);
     if (unit === undefined || unit.getCondition() === 'down') return;
+    const tick = this.options.clock.readMonotonicMs();
+    const isOverdue = this.leaves.isOverdue(endpoint, tick);
+    if (isOverdue || this.pauses.isWaking(tick)) return;
     for (;;) {
       const next = unit.queue.takeNext();
       if (next === undefined) return;
@@ -333,27 +344,32 @@
   /** Ends what has waited past its deadline and forgets what has expired. */
   sweep(): void {
     const tick = this.options.clock.readMonotonicMs();
+    this.pauses.observeTime(tick);
     for (const unit of this.options.units.values()) {
       for (const work of unit.queue.takeExpired(tick)) {
-        this.refuseExpired(work.requestId, tick);
+        this.refuseWaiting(work.requestId, MISSED_DEADLINE, tick);
       }
+      this.refuseLeft(unit, tick);
       this.startWaiting(unit.settings.name);
     }
     this.table.removeExpired(tick);
   }
 
-  private refuseExpired(key: string, tick: number): void {
-    this.pending.delete(key);
-    const record = this.table.findByKey(key);
-    if (record === undefined) return;
-    const detail = 'the deadline passed while the request waited';
-    const error = createError('deadline-unmeetable', detail);
-    this.table.refuseQueued(record, error, tick);
+  /** Refuses what still waits for an endpoint whose time is over. */
+  private refuseLeft(unit: EndpointUnit, tick: number): void {
+    const {name} = unit.settings;
+    this.leaves.observeEndpoint(name, unit.getCondition(), tick);
+    if (!this.leaves.isOverdue(name, tick)) return;
+    const error = createError('draining', 'the endpoint is leaving');
+    for (const work of unit.queue.takeExpired(Infinity)) {
+      this.refuseWaiting(work.requestId, error, tick);
+    }
   }
 
-  /** Takes no new work from now on. */
-  startDraining(): void {
-    this.isDraining = true;
+  private refuseWaiting(key: string, error: ServiceError, tick: number): void {
+    this.pending.delete(key);
+    const record = this.table.findByKey(key);
+    if (record !== undefined) this.table.refuseQueued(record, error, tick);
   }
 
   /** Tells whether every run has ended. */
--- a/packages/server/src/entry/node_directory.ts
+++ b/packages/server/src/entry/node_directory.ts
@@ -15,6 +15,7 @@
   EntryClient,
   EntryHeartbeat,
   StreamHandle,
+  drainEndpoint,
 } from '@sassafrasspan/nodes';
 import type {ListedVm, VmList} from '@sassafrasspan/platform';
 import type {EventLog} from '@sassafrasspan/runtime';
@@ -22,7 +23,10 @@
 import {parseAgentReport} from './heartbeat_reader';
 import {RulesSpreader} from './rules_spreader';
 
-const REWATCH_DELAY_MS = 250;
+const MIN_REWATCH_DELAY_MS = 250;
+const MAX_REWATCH_DELAY_MS = 2_000;
+/** An unlisted node without a heartbeat for this long is forgotten. */
+const UNLISTED_KEEP_MS = 10_000;
 
 /** A node as settings or the VM list name it. */
 export type KnownNode = Omit<ListedVm, 'state'>;
@@ -47,12 +51,15 @@
   readonly node: KnownNode;
   readonly client: T;
   handle: StreamHandle;
+  /** Watches that ended since the last heartbeat. */
+  failures: number;
+  /** When the last heartbeat arrived or the watch began, in ms. */
+  seenAtMs: number;
 }
 
 /** An entry that is watched, with its last heartbeat. */
 interface WatchedEntry extends WatchedNode<EntryClient> {
   heartbeat: EntryHeartbeat | undefined;
-  seenAtMs: number;
 }
 
 /** Another entry with the age of its last heartbeat. */
@@ -91,9 +98,21 @@
     const leaving = listed.value.filter(vm => vm.state === 'leaving');
     this.options.fleet.setLeavingVms(leaving.map(vm => vm.name));
     for (const vm of listed.value) this.addNode(vm);
+    for (const vm of leaving) this.notifyLeaving(vm);
     this.removeUnlisted(listed.value);
   }
 
+  /**
+   * Tells an agent that its VM is listed as leaving, until it says so itself:
+   * entries that cannot read the list learn it from the agent.
+   */
+  private notifyLeaving(vm: KnownNode): void {
+    if (!this.agents.has(vm.name) || this.options.fleet.isLeaving(vm.name)) {
+      return;
+    }
+    void drainEndpoint(vm.address, '');
+  }
+
   private addNode(node: KnownNode): void {
     if (node.name === this.options.self) return;
     if (node.role === 'agent') this.addAgent(node);
@@ -108,7 +127,7 @@
     const watched: WatchedNode<AgentClient> = {
       node,
       client,
-      handle: {cancel: () => undefined},
+      ...this.createWatch(),
     };
     this.agents.set(node.name, watched);
     this.watchAgent(watched);
@@ -120,7 +139,7 @@
       handleLoss: reason => {
         const peer = watched.node.name;
         this.options.log.writeEvent('peer-lost', {peer, reason});
-        this.scheduleWatch(() => {
+        this.scheduleWatch(watched, () => {
           if (this.agents.get(peer) === watched) this.watchAgent(watched);
         });
       },
@@ -132,17 +151,38 @@
     return {node: this.options.self, rulesRevision};
   }
 
-  private scheduleWatch(start: () => void): void {
-    setTimeout(() => {
-      if (!this.isStopped) start();
-    }, REWATCH_DELAY_MS);
+  private createWatch() {
+    const seenAtMs = this.options.clock.readMonotonicMs();
+    return {handle: {cancel: () => undefined}, failures: 0, seenAtMs};
+  }
+
+  /** Watches again after a growing, jittered delay. */
+  private scheduleWatch(
+    watched: WatchedNode<unknown>,
+    start: () => void,
+  ): void {
+    const grownMs = MIN_REWATCH_DELAY_MS * 2 ** watched.failures;
+    const delayMs = Math.min(MAX_REWATCH_DELAY_MS, grownMs);
+    watched.failures += 1;
+    setTimeout(
+      () => {
+        if (!this.isStopped) start();
+      },
+      delayMs * (0.5 + this.options.random()),
+    );
+  }
+
+  private markSeen(watched: WatchedNode<unknown>): number {
+    watched.failures = 0;
+    watched.seenAtMs = this.options.clock.readMonotonicMs();
+    return watched.seenAtMs;
   }
 
   private applyAgent(
     watched: WatchedNode<AgentClient>,
     heartbeat: AgentHeartbeat,
   ): void {
-    const nowMs = this.options.clock.readMonotonicMs();
+    const nowMs = this.markSeen(watched);
     this.options.fleet.applyReport(parseAgentReport(heartbeat), nowMs);
     this.options.quarantine.addVerdicts(heartbeat.quarantined);
     const {agent, rulesRevision} = heartbeat;
@@ -161,9 +201,8 @@
     const watched: WatchedEntry = {
       node,
       client: EntryClient.create(node.address),
-      handle: {cancel: () => undefined},
+      ...this.createWatch(),
       heartbeat: undefined,
-      seenAtMs: Number.NEGATIVE_INFINITY,
     };
     this.entries.set(node.name, watched);
     this.watchEntry(watched);
@@ -173,7 +212,7 @@
     watched.handle = watched.client.watch(this.createWatchRequest(), {
       receiveMessage: heartbeat => this.applyEntry(watched, heartbeat),
       handleLoss: () =>
-        this.scheduleWatch(() => {
+        this.scheduleWatch(watched, () => {
           if (this.entries.get(watched.node.name) !== watched) return;
           this.watchEntry(watched);
         }),
@@ -182,23 +221,27 @@
 
   private applyEntry(watched: WatchedEntry, heartbeat: EntryHeartbeat): void {
     watched.heartbeat = heartbeat;
-    watched.seenAtMs = this.options.clock.readMonotonicMs();
+    this.markSeen(watched);
     this.options.quarantine.addVerdicts(heartbeat.quarantined);
     const {rulesRevision} = heartbeat;
     void this.options.feed.followPeer(watched.client, rulesRevision);
   }
 
-  /** Forgets nodes that neither the list nor the seeds name. */
+  /** Forgets silent nodes that neither the list nor the seeds name. */
   private removeUnlisted(vms: readonly ListedVm[]): void {
     const named = new Set([
       ...vms.map(vm => vm.name),
       ...this.options.seeds.map(seed => seed.name),
     ]);
-    for (const watched of this.agents.values()) {
-      if (!named.has(watched.node.name)) this.dropAgent(watched);
+    const nowMs = this.options.clock.readMonotonicMs();
+    const isGone = (watched: WatchedNode<unknown>) =>
+      !named.has(watched.node.name) &&
+      nowMs - watched.seenAtMs > UNLISTED_KEEP_MS;
+    for (const watched of [...this.agents.values()].filter(isGone)) {
+      this.dropAgent(watched);
     }
-    for (const watched of this.entries.values()) {
-      if (!named.has(watched.node.name)) this.dropEntry(watched);
+    for (const watched of [...this.entries.values()].filter(isGone)) {
+      this.dropEntry(watched);
     }
   }
 
@@ -233,7 +276,8 @@
       name: watched.node.name,
       client: watched.client,
       heartbeat: watched.heartbeat,
-      ageMs: nowMs - watched.seenAtMs,
+      ageMs:
+        watched.heartbeat === undefined ? Infinity : nowMs - watched.seenAtMs,
     }));
   }
 
