--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,7 @@
 /** The decisions of the system: pure, without I/O or timers. */
+export * from './burn/burn_book';
+export * from './burn/burn_counter';
+export * from './burn/promise_kinds';
 export * from './errors/error_kinds';
 export * from './events/event_table';
 export * from './membership/fleet_view';
@@ -15,16 +18,19 @@
 export * from './rollout/step_state';
 export * from './rollout/version_tracker';
 export * from './routing/choose_endpoint';
+export * from './routing/endpoint_tracker';
 export * from './rules/rule_book';
 export * from './rules/rule_checks';
 export * from './rules/rule_schemas';
 export * from './rules/rules_holder';
 export * from './runs/admission_queue';
+export * from './runs/fair_queue';
 export * from './runs/answer_assembler';
 export * from './runs/answer_buffer';
 export * from './runs/endpoint_driver';
 export * from './runs/expiring_map';
 export * from './runs/quarantine';
+export * from './runs/request_progress';
 export * from './runs/retry_budget';
 export * from './runs/retry_decision';
 export * from './runs/run_table';
