--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,8 @@
 export * from './errors/error_kinds';
 export * from './events/event_table';
 export * from './membership/fleet_view';
+export * from './membership/leave_state';
+export * from './membership/pause_detector';
 export * from './membership/rules_survey';
 export * from './rollout/answer_collector';
 export * from './rollout/cursor';
