--- a/packages/bench/src/bench_report.ts
+++ b/packages/bench/src/bench_report.ts
@@ -3,7 +3,7 @@
 import {POLICIES, Policy} from './policies';
 import {SCENARIOS, Scenario} from './scenarios';
 import {Simulation} from './simulation';
-import {RunSummary, summarizeRun} from './summary';
+import {RunSummary, computeMeanSummary, summarizeRun} from './summary';
 
 /** One line of the comparison. */
 export interface BenchResult {
@@ -15,7 +15,9 @@
 
 /** What a comparison covers. */
 export interface BenchPlan {
+  /** First seed; each figure is the mean over the seeds. */
   readonly seed: number;
+  readonly seedCount: number;
   readonly durationMs: number;
   readonly deployments: readonly Deployment[];
   readonly scenarios: readonly Scenario[];
@@ -23,9 +25,14 @@
 }
 
 /** The whole comparison from a seed. */
-export function createFullPlan(seed: number, durationMs: number): BenchPlan {
+export function createFullPlan(
+  seed: number,
+  seedCount: number,
+  durationMs: number,
+): BenchPlan {
   return {
     seed,
+    seedCount,
     durationMs,
     deployments: DEPLOYMENTS,
     scenarios: SCENARIOS,
@@ -35,23 +42,33 @@
 
 /** Runs every policy under every scenario of every deployment. */
 export function runBench(plan: BenchPlan): BenchResult[] {
-  const {seed, durationMs} = plan;
   return plan.deployments.flatMap(deployment =>
     plan.scenarios.flatMap(scenario =>
-      plan.policies.map(policy => {
-        const run = {deployment, scenario, policy, seed, durationMs};
-        const stats = Simulation.run(run);
-        return {
-          deployment: deployment.name,
-          scenario: scenario.name,
-          policy: policy.name,
-          summary: summarizeRun(stats, deployment, durationMs),
-        };
-      }),
+      plan.policies.map(policy => ({
+        deployment: deployment.name,
+        scenario: scenario.name,
+        policy: policy.name,
+        summary: runSeeds(plan, deployment, scenario, policy),
+      })),
     ),
   );
 }
 
+function runSeeds(
+  plan: BenchPlan,
+  deployment: Deployment,
+  scenario: Scenario,
+  policy: Policy,
+): RunSummary {
+  const {durationMs} = plan;
+  const summaries = Array.from({length: plan.seedCount}, (_, index) => {
+    const seed = plan.seed + index;
+    const run = {deployment, scenario, policy, seed, durationMs};
+    return summarizeRun(Simulation.run(run), deployment, durationMs);
+  });
+  return computeMeanSummary(summaries);
+}
+
 /** A column of the tables. */
 interface Column {
   readonly title: string;
@@ -61,9 +78,9 @@
 const COLUMNS: readonly Column[] = [
   {title: 'idle %', format: row => formatPercent(row.idleShare)},
   {title: 'stale mean', format: row => row.stalenessMean.toFixed(2)},
-  {title: 'p99', format: row => String(row.stalenessP99)},
-  {title: 'dropped', format: row => String(row.dropped)},
-  {title: 'samples', format: row => String(row.delivered)},
+  {title: 'p99', format: row => row.stalenessP99.toFixed(1)},
+  {title: 'dropped', format: row => row.dropped.toFixed(0)},
+  {title: 'samples', format: row => row.delivered.toFixed(0)},
   {title: 'engine p50', format: row => row.engineP50Ms.toFixed(0)},
   {title: 'p99 ms', format: row => row.engineP99Ms.toFixed(0)},
   {title: 'refused %', format: row => formatPercent(row.engineRefused)},
@@ -74,7 +91,7 @@
   {title: 'good/s', format: row => row.plainGoodput.toFixed(1)},
   {title: 'prefix %', format: row => formatPercent(row.prefixHits)},
   {title: 'costly MB', format: row => row.costlyMb.toFixed(1)},
-  {title: 'retries', format: row => String(row.retries)},
+  {title: 'retries', format: row => row.retries.toFixed(0)},
 ];
 const NAME_WIDTH = 18;
 const GAP = '  ';
--- /dev/null
+++ b/packages/bench/src/bounds.ts
@@ -0,0 +1,92 @@
+/**
+ * Bounds of the benchmark, from bounds.json: a figure of the current policy,
+ * as it is or as a ratio to the figure of another run.
+ */
+import {z} from 'zod';
+import entries from '../bounds.json';
+import type {BenchResult} from './bench_report';
+import type {RunSummary} from './summary';
+
+const METRICS = [
+  'idleShare',
+  'stalenessP99',
+  'plainGoodput',
+  'engineGoodput',
+  'plainP99Ms',
+  'engineP99Ms',
+] as const satisfies readonly (keyof RunSummary)[];
+
+const BOUND_SCHEMA = z.strictObject({
+  id: z.string(),
+  deployment: z.string(),
+  scenario: z.string(),
+  metric: z.enum(METRICS),
+  /** Run whose figure divides; without it the figure itself is bounded. */
+  against: z
+    .strictObject({policy: z.string(), scenario: z.string()})
+    .optional(),
+  atMost: z.number().optional(),
+  atLeast: z.number().optional(),
+});
+
+/** One bound. */
+export type Bound = z.infer<typeof BOUND_SCHEMA>;
+
+/** The bounds that the current policy is held to. */
+export const BOUNDS: readonly Bound[] = z.array(BOUND_SCHEMA).parse(entries);
+
+const CURRENT = 'current';
+
+/** A bound with what was measured. */
+export interface BoundCheck {
+  readonly bound: Bound;
+  /** The bounded figure; undefined when a run is missing. */
+  readonly value: number | undefined;
+  readonly isMet: boolean;
+}
+
+/** Compares a bound with results. */
+export function checkBound(
+  bound: Bound,
+  results: readonly BenchResult[],
+): BoundCheck {
+  const {scenario, against} = bound;
+  const own = findFigure(bound, CURRENT, scenario, results);
+  const other = against
+    ? findFigure(bound, against.policy, against.scenario, results)
+    : 1;
+  if (own === undefined || other === undefined) {
+    return {bound, value: undefined, isMet: false};
+  }
+  const value = own / other;
+  const isBelow = value <= (bound.atMost ?? Number.POSITIVE_INFINITY);
+  return {bound, value, isMet: isBelow && value >= (bound.atLeast ?? 0)};
+}
+
+function findFigure(
+  bound: Bound,
+  policy: string,
+  scenario: string,
+  results: readonly BenchResult[],
+): number | undefined {
+  const found = results.find(
+    result =>
+      result.deployment === bound.deployment &&
+      result.policy === policy &&
+      result.scenario === scenario,
+  );
+  return found?.summary[bound.metric];
+}
+
+/** Formats checks, one a line. */
+export function formatChecks(checks: readonly BoundCheck[]): string {
+  const lines = checks.map(({bound, value, isMet}) => {
+    const limit =
+      bound.atMost === undefined
+        ? `at least ${bound.atLeast}`
+        : `at most ${bound.atMost}`;
+    const figure = value === undefined ? 'not run' : value.toFixed(3);
+    return `${isMet ? 'met' : 'NOT MET'}  ${bound.id}: ${figure}, ${limit}`;
+  });
+  return `${lines.join('\n')}\n`;
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,24 +1,28 @@
 /** `npm run bench`: prints the comparison and the bounds. */
 import {parseArgs} from 'node:util';
 import {createFullPlan, formatResults, runBench} from './bench_report';
-
-const DEFAULT_SEED = '1';
-const DEFAULT_SECONDS = '200';
+import {BOUNDS, checkBound, formatChecks} from './bounds';
 
 const {values} = parseArgs({
   options: {
-    seed: {type: 'string', default: DEFAULT_SEED},
-    seconds: {type: 'string', default: DEFAULT_SECONDS},
+    seed: {type: 'string', default: '1'},
+    seeds: {type: 'string', default: '2'},
+    seconds: {type: 'string', default: '240'},
     scenario: {type: 'string'},
   },
 });
-const full = createFullPlan(
+const plan = createFullPlan(
   Number(values.seed),
+  Number(values.seeds),
   Number(values.seconds) * 1_000,
 );
-const scenarios = full.scenarios.filter(
+const scenarios = plan.scenarios.filter(
   scenario => (values.scenario ?? scenario.name) === scenario.name,
 );
-const results = runBench({...full, scenarios});
-process.stdout.write(`seed ${values.seed}, ${values.seconds} s a run\n`);
+const results = runBench({...plan, scenarios});
+const checks = BOUNDS.map(bound => checkBound(bound, results));
+process.stdout.write(
+  `seed ${values.seed}, ${values.seeds} seeds, ${values.seconds} s a run\n`,
+);
 process.stdout.write(formatResults(results));
+process.stdout.write(`\n${formatChecks(checks)}`);
--- a/packages/bench/src/summary.ts
+++ b/packages/bench/src/summary.ts
@@ -57,3 +57,14 @@
     retries: stats.retries,
   };
 }
+
+/** Returns the mean of each figure. */
+export function computeMeanSummary(
+  summaries: readonly RunSummary[],
+): RunSummary {
+  const mean: Record<keyof RunSummary, number> = {...summaries[0]};
+  for (const key of Object.keys(mean) as (keyof RunSummary)[]) {
+    mean[key] = computeMean(summaries.map(summary => summary[key]));
+  }
+  return mean;
+}
