--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -82,6 +82,9 @@
   issue: SchemaIssue,
 ): SettingsFault[] {
   const path = issue.path.map(part => (typeof part === 'symbol' ? '' : part));
+  if (issue.code === 'custom') {
+    return [createFault(source, path, issue.message)];
+  }
   if (issue.code !== 'unrecognized_keys') {
     return [createFault(source, path, explainValue(source, reader, path))];
   }
--- a/packages/server/src/commands/check_file.test.ts
+++ b/packages/server/src/commands/check_file.test.ts
@@ -22,6 +22,7 @@
   ['a URL of another scheme', AGENT.replace('http://10.10.0.30', 'ftp://x')],
   ['no endpoint', AGENT.replace(/endpoints:\n.*\n/, 'endpoints: []\n')],
   ['a kind that is not known', AGENT.replace('kind: engine', 'kind: lm')],
+  ['timeouts that clash', ENTRY.replace('10000', '60000')],
   ['two faults', AGENT.replace('level: info', 'level: 3').replace('name', 'n')],
   ['another role', ENTRY.replace('role: entry', 'role: router')],
   ['text that is no YAML', 'role: entry\nname: [\n'],
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -1,13 +1,19 @@
 /** The entry: composition of its parts, start and graceful stop. */
 import {randomUUID} from 'node:crypto';
 import {createCallerRoutes} from '@sassafrasspan/callers';
-import {FleetView, Quarantine, RulesHolder} from '@sassafrasspan/core';
+import {
+  BurnBook,
+  FleetView,
+  Quarantine,
+  RulesHolder,
+} from '@sassafrasspan/core';
 import {EntryHeartbeat, NodeServer} from '@sassafrasspan/nodes';
 import {ObjectClient, VmListClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
   DecisionLog,
   HttpServer,
+  LatencyHistograms,
   ListenAddress,
   Metrics,
   SYSTEM_CLOCK,
@@ -23,6 +29,7 @@
 import type {EntrySettings} from '../shared/settings_schemas';
 import {Dispatcher} from './dispatcher';
 import {EntryCallers} from './entry_callers';
+import {MeasuredBackends} from './measured_backends';
 import {NodeDirectory} from './node_directory';
 import {createMissingScoring} from './step_runner';
 import {StepPool} from './step_pool';
@@ -47,6 +54,15 @@
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
   private readonly fleet = FleetView.create();
+  private readonly burn = BurnBook.create(() => this.rules.getBook());
+  private readonly latencies = LatencyHistograms.create();
+  private readonly measured = MeasuredBackends.create({
+    burn: this.burn,
+    latencies: this.latencies,
+    rules: this.rules,
+    fleet: this.fleet,
+    clock: SYSTEM_CLOCK,
+  });
   private readonly store: ObjectClient;
   private readonly feed: RulesFeed;
   private readonly directory: NodeDirectory;
@@ -99,14 +115,23 @@
       ...settings.limits,
     });
     this.peerServer = NodeServer.createEntry({
-      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
+      watch: (request, writer) => {
+        this.feed.recordPeer(request.rulesRevision);
+        this.heartbeats.addWatcher(writer);
+      },
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       forwardStep: call => this.steps.answerForwarded(call),
     });
     this.callersServer = HttpServer.create(
       [
-        ...createCallerRoutes(this.callers, settings.limits),
-        ...createTrainerRoutes(this.createTrainerBackend(), settings.limits),
+        ...createCallerRoutes(
+          this.measured.measureCallers(this.callers),
+          settings.limits,
+        ),
+        ...createTrainerRoutes(
+          this.measured.measureTrainers(this.createTrainerBackend()),
+          settings.limits,
+        ),
       ],
       settings.limits,
     );
@@ -117,6 +142,10 @@
         decisions: this.log,
         isReady: () => this.isReady(),
         describeStatus: () => this.describeStatus(),
+        describeBurn: () => ({
+          promises: this.burn.listPromises(SYSTEM_CLOCK.readWallMs()),
+          latencies: this.latencies.encodeAll(),
+        }),
       }),
       DEFAULT_HTTP_LIMITS,
     );
@@ -139,6 +168,7 @@
     void this.directory.refresh();
     this.addTimer(VM_LIST_INTERVAL_MS, () => void this.directory.refresh());
     this.addTimer(STEP_INTERVAL_MS, () => this.steps.advance());
+    this.addTimer(STEP_INTERVAL_MS, () => this.measured.advance());
     this.log.writeEvent('process-started', {
       incarnation: this.incarnation,
       callers: `${callers.host}:${callers.port}`,
