--- /dev/null
+++ b/packages/bench/src/slopes/path_slopes.ts
@@ -0,0 +1,135 @@
+/**
+ * Cost of a call through entry and agent against a direct call on loopback,
+ * and what idle processes take.
+ */
+import {spawn} from 'node:child_process';
+import {readFileSync} from 'node:fs';
+import path from 'node:path';
+import {
+  DEMO_PLAN,
+  ManagedProcess,
+  TestSystem,
+  callEntry,
+  findDistFolder,
+} from '@sassafrasspan/harness';
+import {computeQuantile} from '../run_stats';
+import {SlopeLine, waitMs} from './slope_measures';
+
+const CALLS = [250, 500, 1_000];
+const WARM_UP_CALLS = 200;
+const IDLE_MS = 5_000;
+const JIFFY_US = 10_000;
+const UTIME_FIELD = 11;
+const STIME_FIELD = 12;
+
+function readProcessCpuUs(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[UTIME_FIELD]) + Number(fields[STIME_FIELD])) * JIFFY_US;
+}
+
+function readRssMb(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const [, kb] = /VmRSS:\s+(\d+)/.exec(status) ?? [];
+  return Number(kb) / 1_024;
+}
+
+async function measureCalls(
+  calls: number,
+  call: () => Promise<unknown>,
+): Promise<number[]> {
+  const latencies: number[] = [];
+  for (let i = 0; i < calls; i++) {
+    const startedMs = performance.now();
+    await call();
+    latencies.push(performance.now() - startedMs);
+  }
+  return latencies;
+}
+
+async function measurePath(
+  system: TestSystem,
+  entry: ManagedProcess,
+  agent: ManagedProcess,
+  size: number,
+): Promise<SlopeLine> {
+  const {callersUrl} = system.getEntry('entry-a');
+  const {url} = system.getEndpoint('app-1');
+  const callDirect = async () => (await fetch(`${url}/shifts/17`)).text();
+  const callPath = () =>
+    callEntry(callersUrl, 'kyklos', '/services/booking-app/shifts/17', {
+      method: 'GET',
+    });
+  await measureCalls(WARM_UP_CALLS, callPath);
+  await measureCalls(WARM_UP_CALLS, callDirect);
+  const entryUs = readProcessCpuUs(entry.getPid());
+  const agentUs = readProcessCpuUs(agent.getPid());
+  const through = await measureCalls(size, callPath);
+  const entryCpuUs = (readProcessCpuUs(entry.getPid()) - entryUs) / size;
+  const agentCpuUs = (readProcessCpuUs(agent.getPid()) - agentUs) / size;
+  const direct = await measureCalls(size, callDirect);
+  const compareAt = (share: number) =>
+    computeQuantile(through, share) / computeQuantile(direct, share);
+  const figures = {
+    ratioP50: compareAt(0.5),
+    ratioP99: compareAt(0.99),
+    entryCpuUs,
+    agentCpuUs,
+  };
+  return {name: 'plain calls through entry and agent', size, figures};
+}
+
+/** Starts a process that has the bundle loaded and does nothing. */
+async function measureBareRssMb(): Promise<number> {
+  const bundle = path.join(findDistFolder(), 'sassafrasspan.cjs');
+  const script = `process.exit = () => undefined;
+    setInterval(() => undefined, 1000);
+    process.argv = ['node', 'sassafrasspan', '--help'];
+    require(${JSON.stringify(bundle)});`;
+  const child = spawn(process.execPath, ['-e', script], {stdio: 'ignore'});
+  await waitMs(IDLE_MS);
+  const rssMb = readRssMb(child.pid ?? 0);
+  child.kill();
+  return rssMb;
+}
+
+/** Measures the path of a call and idle processes. */
+export async function measurePaths(): Promise<SlopeLine[]> {
+  const bareRssMb = await measureBareRssMb();
+  const system = await TestSystem.create({
+    ...DEMO_PLAN,
+    entries: DEMO_PLAN.entries.slice(0, 1),
+    endpoints: DEMO_PLAN.endpoints.filter(item => item.name === 'app-1'),
+  });
+  const entry = system.getEntry('entry-a').process;
+  const agent = [...system.agents.values()][0].process;
+  const lines: SlopeLine[] = [
+    {name: 'bundle loaded and idle', size: 1, figures: {rssMb: bareRssMb}},
+  ];
+  const started = [
+    readProcessCpuUs(entry.getPid()),
+    readProcessCpuUs(agent.getPid()),
+  ];
+  await waitMs(IDLE_MS);
+  for (const [index, [name, node]] of [
+    ['idle entry', entry] as const,
+    ['idle agent', agent] as const,
+  ].entries()) {
+    const usedUs = readProcessCpuUs(node.getPid()) - started[index];
+    const figures = {
+      rssMb: readRssMb(node.getPid()),
+      corePercent: usedUs / IDLE_MS / 10,
+    };
+    lines.push({name, size: 1, figures});
+  }
+  for (const size of CALLS) {
+    lines.push(await measurePath(system, entry, agent, size));
+  }
+  const loaded = {
+    entryRssMb: readRssMb(entry.getPid()),
+    agentRssMb: readRssMb(agent.getPid()),
+  };
+  lines.push({name: 'after the calls', size: 1, figures: loaded});
+  await system.close();
+  return lines;
+}
--- a/packages/harness/src/child_process.ts
+++ b/packages/harness/src/child_process.ts
@@ -40,6 +40,11 @@
     return new ManagedProcess(name, child, JSON.parse(line), output);
   }
 
+  /** Returns the id of the process; 0 before it has one. */
+  getPid(): number {
+    return this.child.pid ?? 0;
+  }
+
   /** Returns what the process has written to standard error. */
   readOutput(): string {
     return this.output.join('');
