--- a/packages/harness/src/reading_back.test.ts
+++ b/packages/harness/src/reading_back.test.ts
@@ -24,6 +24,8 @@
   - {id: key, kind: api-key, customer: kyklos, sha256: ${hashCustomerKey('kyklos')}}  # onboarding
   - {id: lm, kind: pool, service: briefing-lm, type: engine, endpoints: [lm-1]}  # platform team
   - {id: app, kind: pool, service: booking-app, type: plain, endpoints: [app-1]}  # platform team
+  - {id: whole-hour, kind: latency, customer: kyklos, service: briefing-lm, percentile: 99, withinMs: 3600000}  # venue sales
+  - {id: one-ms, kind: latency, customer: kyklos, service: briefing-lm, percentile: 98, withinMs: 1}  # nobody in earnest
 `,
 };
 
@@ -37,12 +39,21 @@
     ...['--objects', system.platform.url, '--vms', system.platform.url],
     ...nodes.flatMap(node => ['--node', node.operatorsUrl]),
   ];
+  await waitUntilInForce();
 });
 
 afterAll(async () => {
   await system.close();
 });
 
+/** Waits until no node is behind the newest accepted revision. */
+function waitUntilInForce(): Promise<void> {
+  return waitUntil('the newest revision everywhere', async () => {
+    const {stdout} = await runCommand('rules', 'show', '--brief', ...sources);
+    return stdout.includes('in force') && !stdout.includes('behind');
+  });
+}
+
 /** Replaces what differs from run to run. */
 function replaceTimes(text: string): string {
   return text
@@ -60,10 +71,7 @@
 test('rules history lists revisions, newest first', async () => {
   const revision = await system.applyRules(`${PLAN.rules}# reviewed\n`);
   expect(revision).toBe(2);
-  await waitUntil('revision 2 everywhere', async () => {
-    const {stdout} = await runCommand('rules', 'show', '--brief', ...sources);
-    return !stdout.includes('behind');
-  });
+  await waitUntilInForce();
   const shown = await runCommand('rules', 'history', ...sources);
   expect({...shown, stdout: replaceTimes(shown.stdout)}).toMatchSnapshot();
 });
@@ -86,6 +94,32 @@
   expect(missing).toMatchSnapshot();
 });
 
+test('report burn tells kept promises from broken ones', async () => {
+  const {callersUrl} = system.getEntry('entry-a');
+  const body = {model: 'briefing-lm', prompt: 'Brief', max_tokens: 40};
+  await callCompletion(callersUrl, 'kyklos', body);
+  const shown = await runCommand('report', 'burn', ...sources);
+  expect(shown.stderr).toBe('');
+  expect(shown.code).toBe(1);
+  expect(shown.stdout).toMatch(/^whole-hour +kept .*venue sales$/m);
+  expect(shown.stdout).toMatch(/^one-ms +broken +urgent .*nobody in earnest$/m);
+  expect(shown.stdout).toMatch(/^kyklos briefing-lm +2 /m);
+});
+
+test('pages for operators and for callers stay at their own ports', async () => {
+  const {callersUrl, operatorsUrl} = system.getEntry('entry-a');
+  const pages = ['/status', '/metrics', '/burn', '/explain/x', '/health'];
+  for (const page of pages) {
+    const answer = await callEntry(callersUrl, 'kyklos', page);
+    expect(`${page} ${answer.status}`).toBe(`${page} 404`);
+  }
+  const body = {model: 'briefing-lm', prompt: 'Brief', max_tokens: 4};
+  const answer = await callCompletion(operatorsUrl, 'kyklos', body);
+  expect(answer.status).toBe(404);
+  const metrics = await callEntry(operatorsUrl, 'kyklos', '/metrics');
+  expect(metrics.text).toMatch(/^sassafrasspan_platform_parts_down 0$/m);
+});
+
 test('drain takes an endpoint out, and status says why', async () => {
   const drained = await runCommand('drain', 'app-1', '--wait', ...sources);
   expect(drained).toMatchSnapshot();
--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -7,9 +7,11 @@
  */
 import {ClientReadableStream, Metadata, credentials} from '@grpc/grpc-js';
 import {ServiceError, createError} from '@sassafrasspan/core';
+import {describeError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {CHANNEL_OPTIONS} from './channel_options';
 import {
+  AcknowledgeReply,
   AgentHeartbeat,
   AgentNodeClient,
   FetchRulesReply,
@@ -30,6 +32,7 @@
 export const ALIVE_INTERVAL_MS = 500;
 /** A stream without a frame for this long is lost. */
 export const SILENCE_TIMEOUT_MS = 2_000;
+const SILENCE_REASON = 'silent';
 const UNARY_TIMEOUT_MS = 1_500;
 
 /** Takes the messages of a stream until it is lost or ends. */
@@ -80,11 +83,9 @@
 
 /** Agent over gRPC. */
 export class AgentClient implements AgentPeer {
-  private isClosed = false;
-
   private constructor(
     readonly address: string,
-    private readonly client: AgentNodeClient,
+    private client: AgentNodeClient,
   ) {}
 
   /** Builds a client for `host:port`. */
@@ -96,7 +97,7 @@
     request: RunRequest,
     listener: StreamListener<RunFrame>,
   ): StreamHandle {
-    return followStream(this.client.run(request), listener);
+    return this.followShared(stub => stub.run(request), listener);
   }
 
   resumeRun(
@@ -104,7 +105,7 @@
     listener: StreamListener<RunFrame>,
   ): StreamHandle {
     const fresh = createAgentStub(this.address);
-    const handle = followStream(fresh.resume(request), {
+    const handle = followStream(() => fresh.resume(request), {
       receiveMessage: frame => listener.receiveMessage(frame),
       handleLoss: reason => {
         fresh.close();
@@ -131,11 +132,10 @@
   }
 
   acknowledgeRun(requestId: string, cancel: boolean, run?: RunOfEntry): void {
-    if (this.isClosed) return;
-    const deadline = Date.now() + UNARY_TIMEOUT_MS;
     const request = {requestId, cancel, ...run};
-    const options = {deadline};
-    this.client.acknowledge(request, new Metadata(), options, () => undefined);
+    void callUnary<AcknowledgeReply>((metadata, options, done) =>
+      this.client.acknowledge(request, metadata, options, done),
+    );
   }
 
   async listAnswers(
@@ -161,7 +161,7 @@
   ): Promise<Result<WeightsChunk, ServiceError>> {
     return new Promise(resolve => {
       const missing = createError('not-found', 'the agent has no such weights');
-      followStream(this.client.fetchWeights(request), {
+      followStream(() => this.client.fetchWeights(request), {
         receiveMessage: chunk => resolve(ok(chunk)),
         handleLoss: () => resolve(err(missing)),
       });
@@ -180,11 +180,31 @@
     request: WatchRequest,
     listener: StreamListener<AgentHeartbeat>,
   ): StreamHandle {
-    return followStream(this.client.watch(request), listener);
+    return this.followShared(stub => stub.watch(request), listener);
+  }
+
+  /** Follows a stream; once it is silent, later calls connect anew. */
+  private followShared<T>(
+    start: (stub: AgentNodeClient) => ClientReadableStream<T>,
+    listener: StreamListener<T>,
+  ): StreamHandle {
+    const stub = this.client;
+    return followStream(() => start(stub), {
+      receiveMessage: message => listener.receiveMessage(message),
+      handleLoss: reason => {
+        if (reason === SILENCE_REASON) this.replaceStub(stub);
+        listener.handleLoss(reason);
+      },
+    });
+  }
+
+  private replaceStub(silent: AgentNodeClient): void {
+    if (this.client !== silent) return;
+    this.client = createAgentStub(this.address);
+    silent.close();
   }
 
   close(): void {
-    this.isClosed = true;
     this.client.close();
   }
 }
@@ -211,18 +231,39 @@
     options: UnaryOptions,
     done: UnaryDone<T>,
   ) => void,
+  timeoutMs = UNARY_TIMEOUT_MS,
 ): Promise<Result<T, ServiceError>> {
   return new Promise(resolve => {
-    const deadline = Date.now() + UNARY_TIMEOUT_MS;
-    start(new Metadata(), {deadline}, (error, reply) => {
-      if (error === null) resolve(ok(reply));
-      else resolve(err(createError('agent-lost', error.message)));
-    });
+    const deadline = Date.now() + timeoutMs;
+    const fail = (error: unknown) =>
+      resolve(err(createError('agent-lost', describeError(error))));
+    try {
+      start(new Metadata(), {deadline}, (error, reply) => {
+        if (error === null) resolve(ok(reply));
+        else fail(error);
+      });
+    } catch (error) {
+      // A client that has been closed throws instead of calling back.
+      fail(error);
+    }
   });
 }
 
 /** Follows a stream until it ends, fails or goes silent. */
 export function followStream<T>(
+  start: () => ClientReadableStream<T>,
+  listener: StreamListener<T>,
+): StreamHandle {
+  try {
+    return followOpenStream(start(), listener);
+  } catch (error) {
+    // A client that has been closed throws instead of failing the stream.
+    const timer = setImmediate(() => listener.handleLoss(describeError(error)));
+    return {cancel: () => clearImmediate(timer)};
+  }
+}
+
+function followOpenStream<T>(
   stream: ClientReadableStream<T>,
   listener: StreamListener<T>,
 ): StreamHandle {
@@ -234,7 +275,7 @@
     stream.cancel();
     if (reason !== undefined) listener.handleLoss(reason);
   };
-  const notifySilence = () => endStream('silent');
+  const notifySilence = () => endStream(SILENCE_REASON);
   const timer = setTimeout(notifySilence, SILENCE_TIMEOUT_MS);
   stream.on('data', (message: T) => {
     if (isOver) return;
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -24,6 +24,7 @@
   HttpServer,
   Metrics,
   SYSTEM_CLOCK,
+  SYSTEM_SCHEDULER,
   createEventLog,
   waitMs,
 } from '@sassafrasspan/runtime';
@@ -89,7 +90,10 @@
     });
     this.rules.addListener(() => this.heartbeats.sendNow());
     this.units = new Map(
-      settings.endpoints.map(item => [item.name, EndpointUnit.create(item)]),
+      settings.endpoints.map(item => [
+        item.name,
+        EndpointUnit.create(item, SYSTEM_CLOCK),
+      ]),
     );
     this.weights = this.createWeights();
     this.watches = this.createVersionWatches();
@@ -98,6 +102,7 @@
       units: this.units,
       quarantine: this.quarantine,
       clock: SYSTEM_CLOCK,
+      scheduler: SYSTEM_SCHEDULER,
       log: this.log,
       metrics: this.metrics,
       getRulesRevision: () => this.rules.getRevisionNumber(),
@@ -161,8 +166,8 @@
 
   private startLeaving(): void {
     this.isLeaving = true;
-    this.runs.startDraining();
     for (const unit of this.units.values()) unit.markLeaving();
+    this.heartbeats.sendNow();
   }
 
   private isReady(): boolean {
@@ -239,7 +244,10 @@
           totalLength: record.answer.getLength(),
         })),
       }),
-      watch: (_request, writer) => this.heartbeats.addWatcher(writer),
+      watch: (request, writer) => {
+        this.feed.recordPeer(request.rulesRevision);
+        this.heartbeats.addWatcher(writer);
+      },
       fetchRules: request => createRulesReply(this.rules, request.newerThan),
       fetchWeights: (request, writer) =>
         void this.weights.sendBlock(request, writer),
@@ -252,16 +260,20 @@
     const units = [...this.units.values()].filter(
       unit => endpoint === '' || unit.settings.name === endpoint,
     );
-    for (const unit of units) {
-      unit.markLeaving();
-      const name = unit.settings.name;
-      this.log.writeEvent('endpoint-leaving', {endpoint: name});
-    }
+    for (const unit of units) this.markLeaving(unit);
+    this.heartbeats.sendNow();
     const running = units.map(unit => unit.queue.countRunning());
     const queued = units.map(unit => unit.queue.countWaiting());
     return {running: sumAll(running), queued: sumAll(queued)};
   }
 
+  private markLeaving(unit: EndpointUnit): void {
+    if (unit.getCondition() === 'leaving') return;
+    unit.markLeaving();
+    const endpoint = unit.settings.name;
+    this.log.writeEvent('endpoint-leaving', {endpoint});
+  }
+
   /** Refuses work that was decided under rules that are not here yet. */
   private runRequest(
     request: RunRequest,
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -7,6 +7,8 @@
   Clock,
   EndpointCondition,
   ErrorKind,
+  LeaveState,
+  PauseDetector,
   Quarantine,
   Revocation,
   RunFailure,
@@ -14,26 +16,24 @@
   RunSink,
   RunStatus,
   RunTable,
+  Scheduler,
   ServiceError,
   Work,
   createError,
   formatRunKey,
 } from '@sassafrasspan/core';
 import {
-  ALIVE_INTERVAL_MS,
   AcknowledgeRequest,
   MessageWriter,
   ResumeRequest,
-  RunIdentity,
   RunFrame,
   RunRequest,
   decodeWork,
-  encodeFailure,
-  encodeFrame,
   encodeRefusal,
 } from '@sassafrasspan/nodes';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
+import {sendFailure, streamAnswer} from './answer_stream';
 import type {EndpointUnit} from './endpoint_unit';
 
 /** Refusal for each condition in which an endpoint takes no work. */
@@ -44,12 +44,18 @@
   'unknown-version': 'version-unknown',
 };
 
+const LATE = 'the deadline passed while the request waited';
+const MISSED_DEADLINE = createError('deadline-unmeetable', LATE);
+
 /** What the runs of an agent are built from. */
 export interface AgentRunsOptions {
   readonly incarnation: string;
   readonly units: ReadonlyMap<string, EndpointUnit>;
   readonly quarantine: Quarantine;
   readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  /** Table to use in place of an empty one. */
+  readonly table?: RunTable;
   readonly log: EventLog;
   readonly metrics: Metrics;
   getRulesRevision(): number;
@@ -65,10 +71,12 @@
 export class AgentRuns {
   private readonly table: RunTable;
   private readonly pending = new Map<string, PendingWork>();
-  private isDraining = false;
+  private readonly leaves = LeaveState.create();
+  private readonly pauses = PauseDetector.create();
 
   private constructor(private readonly options: AgentRunsOptions) {
-    this.table = RunTable.create({incarnation: options.incarnation});
+    const {incarnation} = options;
+    this.table = options.table ?? RunTable.create({incarnation});
   }
 
   /** Builds the runs of a new life of an agent. */
@@ -130,7 +138,9 @@
     if (this.options.quarantine.isQuarantined(request.fingerprint)) {
       return createError('quarantined', 'this request crashes endpoints');
     }
-    if (this.isDraining) return createError('draining', 'the agent is leaving');
+    if (this.pauses.isWaking(this.options.clock.readMonotonicMs())) {
+      return createError('stale-dispatch', 'the agent has just woken');
+    }
     const condition = unit.getCondition();
     if (condition === 'serving') return undefined;
     return createError(REFUSALS[condition], `the endpoint is ${condition}`);
@@ -142,16 +152,16 @@
     unit: EndpointUnit,
     work: Work,
   ): ServiceError | undefined {
-    const isQueued = unit.queue.offerWork({
+    const refusal = unit.queue.offerWork({
       requestId: record.key,
       customer: request.customer,
       priority: request.priority,
       expectedTokens: request.expectedTokens,
       deadlineTick: record.admittedAtTick + request.budgetMs,
     });
-    if (!isQueued) {
-      const detail = 'the queue of the endpoint is full';
-      const error = createError('overloaded', detail);
+    if (refusal !== undefined) {
+      const detail = 'the queue of the endpoint is too long';
+      const error = createError(refusal, detail);
       this.table.refuseQueued(record, error, record.admittedAtTick);
       return error;
     }
@@ -164,6 +174,9 @@
   private startWaiting(endpoint: string): void {
     const unit = this.options.units.get(endpoint);
     if (unit === undefined || unit.getCondition() === 'down') return;
+    const tick = this.options.clock.readMonotonicMs();
+    const isOverdue = this.leaves.isOverdue(endpoint, tick);
+    if (isOverdue || this.pauses.isWaking(tick)) return;
     for (;;) {
       const next = unit.queue.takeNext();
       if (next === undefined) return;
@@ -269,26 +282,7 @@
     fromOffset: number,
     writer: MessageWriter<RunFrame>,
   ): void {
-    const identity = {requestId: record.dispatch.requestId, attempt};
-    const sendAlive = () => {
-      const tick = this.options.clock.readMonotonicMs();
-      const started = record.state !== 'queued';
-      writer.send({
-        ...identity,
-        frame: {$case: 'alive', value: {tick, started}},
-      });
-    };
-    const timer = setInterval(sendAlive, ALIVE_INTERVAL_MS);
-    const unsubscribe = record.answer.subscribe(fromOffset, frame => {
-      const tick = this.options.clock.readMonotonicMs();
-      const {incarnation} = this.options;
-      writer.send(encodeFrame(identity, frame, {incarnation, tick}));
-      if (frame.type === 'end' || frame.type === 'failed') writer.end();
-    });
-    writer.addCloseListener(() => {
-      clearInterval(timer);
-      unsubscribe();
-    });
+    streamAnswer({...this.options, record, attempt, fromOffset, writer});
   }
 
   /** Makes sure that a dispatch does not start, or tells its state. */
@@ -333,27 +327,32 @@
   /** Ends what has waited past its deadline and forgets what has expired. */
   sweep(): void {
     const tick = this.options.clock.readMonotonicMs();
+    this.pauses.observeTime(tick);
     for (const unit of this.options.units.values()) {
       for (const work of unit.queue.takeExpired(tick)) {
-        this.refuseExpired(work.requestId, tick);
+        this.refuseWaiting(work.requestId, MISSED_DEADLINE, tick);
       }
+      this.refuseLeft(unit, tick);
       this.startWaiting(unit.settings.name);
     }
     this.table.removeExpired(tick);
   }
 
-  private refuseExpired(key: string, tick: number): void {
-    this.pending.delete(key);
-    const record = this.table.findByKey(key);
-    if (record === undefined) return;
-    const detail = 'the deadline passed while the request waited';
-    const error = createError('deadline-unmeetable', detail);
-    this.table.refuseQueued(record, error, tick);
+  /** Refuses what still waits for an endpoint whose time is over. */
+  private refuseLeft(unit: EndpointUnit, tick: number): void {
+    const {name} = unit.settings;
+    this.leaves.observeEndpoint(name, unit.getCondition(), tick);
+    if (!this.leaves.isOverdue(name, tick)) return;
+    const error = createError('draining', 'the endpoint is leaving');
+    for (const work of unit.queue.takeExpired(Infinity)) {
+      this.refuseWaiting(work.requestId, error, tick);
+    }
   }
 
-  /** Takes no new work from now on. */
-  startDraining(): void {
-    this.isDraining = true;
+  private refuseWaiting(key: string, error: ServiceError, tick: number): void {
+    this.pending.delete(key);
+    const record = this.table.findByKey(key);
+    if (record !== undefined) this.table.refuseQueued(record, error, tick);
   }
 
   /** Tells whether every run has ended. */
@@ -364,15 +363,3 @@
     );
   }
 }
-
-/** Ends a stream with a failure. */
-function sendFailure(
-  identity: RunIdentity,
-  error: ServiceError,
-  writer: MessageWriter<RunFrame>,
-): void {
-  const {requestId, attempt} = identity;
-  const value = encodeFailure(error);
-  writer.send({requestId, attempt, frame: {$case: 'failed', value}});
-  writer.end();
-}
--- a/packages/server/src/agent/endpoint_unit.ts
+++ b/packages/server/src/agent/endpoint_unit.ts
@@ -3,6 +3,7 @@
  */
 import {
   AdmissionQueue,
+  Clock,
   EndpointCondition,
   EndpointDriver,
   EndpointLoad,
@@ -44,16 +45,18 @@
   private constructor(
     readonly settings: EndpointSettings,
     readonly driver: EndpointDriver,
+    clock: Clock,
   ) {
-    this.queue = AdmissionQueue.create(settings);
+    this.queue = AdmissionQueue.create(settings, clock);
   }
 
   /** Builds the unit of an endpoint whose state is not known yet. */
   static create(
     settings: EndpointSettings,
+    clock: Clock,
     driver = DRIVERS[settings.kind](settings.url),
   ): EndpointUnit {
-    return new EndpointUnit(settings, driver);
+    return new EndpointUnit(settings, driver, clock);
   }
 
   /** Reads the endpoint's load once. */
--- a/packages/server/src/commands/check_file.test.ts
+++ b/packages/server/src/commands/check_file.test.ts
@@ -1,6 +1,7 @@
 /** Faults of files name file, line, key and what is expected. */
 import {readFileSync, readdirSync} from 'node:fs';
 import path from 'node:path';
+import {RULE_SCHEMAS} from '@sassafrasspan/core';
 import {formatSettingsFault} from '@sassafrasspan/runtime';
 import {parse} from 'yaml';
 import {checkFile, checkText} from './check_file';
@@ -22,6 +23,7 @@
   ['a URL of another scheme', AGENT.replace('http://10.10.0.30', 'ftp://x')],
   ['no endpoint', AGENT.replace(/endpoints:\n.*\n/, 'endpoints: []\n')],
   ['a kind that is not known', AGENT.replace('kind: engine', 'kind: lm')],
+  ['timeouts that clash', ENTRY.replace('10000', '60000')],
   ['two faults', AGENT.replace('level: info', 'level: 3').replace('name', 'n')],
   ['another role', ENTRY.replace('role: entry', 'role: router')],
   ['text that is no YAML', 'role: entry\nname: [\n'],
@@ -33,6 +35,16 @@
   expect(faults.map(formatSettingsFault)).toMatchSnapshot();
 });
 
+test('the rules in OPERATIONS.md hold, with every kind once', () => {
+  const docs = path.join(EXAMPLES, '../docs/OPERATIONS.md');
+  const text = readFileSync(docs, 'utf8');
+  const rules = /```yaml\n(rules:[^`]*)```/.exec(text)?.[1] ?? '';
+  const kinds = [...rules.matchAll(/kind: ([a-z-]+)/g)].map(found => found[1]);
+  expect(new Set(kinds)).toEqual(new Set(Object.keys(RULE_SCHEMAS)));
+  const checked = checkText('OPERATIONS.md', rules);
+  expect(checked.isErr() ? checked.error : []).toEqual([]);
+});
+
 test('a file that is not there is a fault', () => {
   const checked = checkFile('missing/node.yaml');
   const faults = checked.isErr() ? checked.error : [];
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -4,20 +4,21 @@
  */
 import type {AnswerSink, DispatchHandle} from '@sassafrasspan/callers';
 import {
+  AttemptVerdict,
   Clock,
+  EndpointTracker,
   EndpointView,
   ErrorKind,
   FleetView,
-  Outcome,
   Quarantine,
   RandomSource,
+  RequestProgress,
   RetryBudget,
   RouteRequest,
   RuleBook,
   RulesHolder,
   ServiceError,
   Work,
-  canRetry,
   chooseEndpoint,
   createError,
   findHome,
@@ -29,16 +30,6 @@
 import type {NodeDirectory} from './node_directory';
 import {AttemptEnd, RunAttempt} from './run_attempt';
 
-/** Failures that another endpoint would answer in the same way. */
-const FINAL_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
-  'bad-request',
-  'quarantined',
-  'deadline-exceeded',
-  'deadline-unmeetable',
-  'in-progress',
-  'key-forgotten',
-]);
-
 /** Failures after which the next attempt avoids the failure domain. */
 const CRASH_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
   'endpoint-failed',
@@ -96,7 +87,7 @@
   readonly deadlineMs: number;
   readonly excluded: string[];
   avoidDomain: string | undefined;
-  hasBytes: boolean;
+  readonly progress: RequestProgress;
   isCancelled: boolean;
   attempt: RunAttempt | undefined;
 }
@@ -104,6 +95,7 @@
 /** Dispatches the requests of an entry. */
 export class Dispatcher {
   private readonly retryBudget = RetryBudget.create();
+  private readonly tracker = EndpointTracker.create();
   private openRequests = 0;
 
   private constructor(private readonly options: DispatcherOptions) {}
@@ -122,7 +114,7 @@
       deadlineMs: startedMs + request.budgetMs,
       excluded: [],
       avoidDomain: undefined,
-      hasBytes: false,
+      progress: RequestProgress.create(request.isIdempotent),
       isCancelled: false,
       attempt: undefined,
     };
@@ -166,10 +158,11 @@
   private async runAttempts(
     state: RequestState,
   ): Promise<ServiceError | undefined> {
-    let outcome: Outcome = 'not-run';
-    for (let number = 1; ; number++) {
+    const {progress} = state;
+    for (;;) {
       const chosen = this.chooseTarget(state);
-      if (chosen.isErr()) return withOutcome(chosen.error, outcome);
+      if (chosen.isErr()) return progress.withOutcome(chosen.error);
+      const number = progress.startAttempt();
       const ended = await this.runAttempt(state, chosen.value, number);
       if (ended.type === 'whole') {
         state.request.keepAnswer?.(chosen.value.agent);
@@ -177,13 +170,13 @@
         state.sink.finish(ended.end);
         return undefined;
       }
-      if (ended.outcome !== 'not-run') outcome = ended.outcome;
       if (ended.error.kind === 'stale-rules' && number <= MAX_RULES_RETRIES) {
         await this.options.directory.reconcileRules(chosen.value.agent);
         continue;
       }
-      const error = withOutcome(ended.error, outcome);
-      if (!this.prepareRetry(state, chosen.value, ended, number)) return error;
+      const canRepeat = this.prepareRetry(state, chosen.value, ended);
+      const error = progress.withOutcome(ended.error);
+      if (!canRepeat) return error;
       const {requestId} = state.request;
       const {kind} = error;
       this.options.metrics.addCount('retries_total', {kind});
@@ -216,11 +209,12 @@
     const serving = this.options.fleet
       .listServing(request.service, nowMs)
       .filter(item => item.weightVersion >= (request.minVersion ?? 0));
+    const candidates = this.tracker.createCandidates(serving, nowMs);
     const {random} = this.options;
-    const chosen = chooseEndpoint(route, serving, random);
+    const chosen = chooseEndpoint(route, candidates, random);
     if (chosen.isOk() || state.avoidDomain === undefined) return chosen;
     const anywhere = {...route, avoidDomain: undefined};
-    return chooseEndpoint(anywhere, serving, random);
+    return chooseEndpoint(anywhere, candidates, random);
   }
 
   /** Finds the endpoint that remembers an idempotency key. */
@@ -255,11 +249,11 @@
       keepsAnswer: state.request.keepAnswer !== undefined,
       sink: {
         setHead: head => {
-          state.hasBytes = true;
+          state.progress.recordBytes();
           state.sink.setHead(head);
         },
         appendChunk: chunk => {
-          state.hasBytes = true;
+          state.progress.recordBytes();
           state.sink.appendChunk(chunk);
         },
       },
@@ -270,12 +264,27 @@
     state.attempt = attempt;
     const endpoint = target.name;
     this.options.log.writeEvent('request-dispatched', {requestId, endpoint});
+    const startedMs = this.options.clock.readMonotonicMs();
     this.options.fleet.addOutstanding(endpoint);
     const ended = await attempt.run();
     this.options.fleet.removeOutstanding(endpoint);
+    this.recordEnd(state.request, target, ended, startedMs);
     return ended;
   }
 
+  /** Tells the tracker what the attempt says of its endpoint. */
+  private recordEnd(
+    request: DispatchRequest,
+    target: EndpointView,
+    ended: AttemptEnd,
+    startedMs: number,
+  ): void {
+    const nowMs = this.options.clock.readMonotonicMs();
+    const latencyMs = (nowMs - startedMs) / Math.max(1, request.expectedTokens);
+    const verdict = decideVerdict(ended);
+    this.tracker.recordEnd(target.name, verdict, latencyMs, nowMs);
+  }
+
   private createRunRequest(
     state: RequestState,
     target: EndpointView,
@@ -309,29 +318,32 @@
     state: RequestState,
     target: EndpointView,
     ended: Extract<AttemptEnd, {type: 'failed'}>,
-    number: number,
   ): boolean {
-    const {kind} = ended.error;
     const nowMs = this.options.clock.readMonotonicMs();
-    const isAllowed = canRetry({
-      attempt: number,
+    const isAllowed = state.progress.recordFailure({
+      error: ended.error,
       outcome: ended.outcome,
-      isIdempotent: state.request.isIdempotent,
-      hasSentBytes: state.hasBytes && !state.sink.reset(),
-      isRetryable: !FINAL_KINDS.has(kind) && !state.isCancelled,
       budgetLeftMs: state.deadlineMs - nowMs,
+      resetAnswer: () => state.sink.reset(),
     });
-    if (!isAllowed || !this.retryBudget.takeRetry()) return false;
-    state.hasBytes = false;
-    state.excluded.push(target.name);
-    if (CRASH_KINDS.has(kind)) state.avoidDomain = target.failureDomain;
+    if (!isAllowed || state.isCancelled) return false;
+    if (!this.retryBudget.takeRetry(nowMs)) return false;
+    if (!isUnreached(ended)) state.excluded.push(target.name);
+    if (CRASH_KINDS.has(ended.error.kind) && !isUnreached(ended)) {
+      state.avoidDomain = target.failureDomain;
+    }
     return true;
   }
 }
 
-/** A request of which any attempt may have run is not stated as not run. */
-function withOutcome(error: ServiceError, outcome: Outcome): ServiceError {
-  return outcome === 'not-run' ? error : {...error, outcome};
+function decideVerdict(ended: AttemptEnd): AttemptVerdict {
+  if (ended.type === 'whole') return 'whole';
+  return CRASH_KINDS.has(ended.error.kind) ? 'failed' : 'neutral';
+}
+
+/** Tells whether only the connection failed, so that a new one may work. */
+function isUnreached(ended: Extract<AttemptEnd, {type: 'failed'}>): boolean {
+  return ended.error.kind === 'agent-lost' && ended.outcome === 'not-run';
 }
 
 /** Returns the fingerprint of a customer's work. */
