--- a/packages/operators/src/status_report.ts
+++ b/packages/operators/src/status_report.ts
@@ -60,12 +60,22 @@
     page.isOk() ? [page.value] : [],
   );
   return {
-    nodes: sources.pages.map(fetched => createNodeLine(fetched, sources)),
+    nodes: sources.pages
+      .map(fetched => createNodeLine(fetched, sources))
+      .sort(compareNodes),
     endpoints: listEndpoints(read, sources.leavingVms),
     outages: [...sources.outages, ...read.flatMap(listOutages)],
   };
 }
 
+/** Entries go before agents, and both by name. */
+function compareNodes(a: NodeLine, b: NodeLine): number {
+  return (
+    b.role.localeCompare(a.role) ||
+    a.node.localeCompare(b.node, 'en', {numeric: true})
+  );
+}
+
 function createNodeLine(
   {url, page}: FetchedPage<StatusPage>,
   sources: StatusSources,
--- a/packages/standins/src/engine_standin.ts
+++ b/packages/standins/src/engine_standin.ts
@@ -29,6 +29,7 @@
   RESUME_SCHEMA,
   copyGeneration,
 } from './generation_snapshot';
+import {ExecutionLog} from './execution_log';
 import {PrefixCache} from './prefix_cache';
 
 const CRASH_MARK = '[[crash]]';
@@ -48,15 +49,6 @@
   isCached: boolean;
 }
 
-/** What the engine did for one request, as the truth for oracles. */
-export interface ExecutionRecord {
-  readonly requestId: string;
-  readonly prompt: string;
-  /** Version of each generated token. */
-  readonly versions: readonly number[];
-  ended: 'whole' | 'broken' | 'running';
-}
-
 /** A running stand-in engine. */
 export class EngineStandin {
   private server: HttpServer;
@@ -64,8 +56,7 @@
   private readonly cache: PrefixCache;
   private running: Generation[] = [];
   private waiting: Generation[] = [];
-  private readonly records = new Map<Generation, ExecutionRecord>();
-  private readonly history: ExecutionRecord[] = [];
+  private readonly executions = ExecutionLog.create();
   private readonly weights: EngineWeights;
   private crashes = 0;
   private timer: NodeJS.Timeout | undefined;
@@ -185,7 +176,7 @@
     response: ServerResponse,
   ): void {
     const generation: Generation = {...state, response, isCached: false};
-    this.recordStart(generation);
+    this.executions.recordStart(generation);
     response.writeHead(200, {'content-type': 'text/event-stream'});
     response.flushHeaders();
     response.on('close', () => this.removeGeneration(generation));
@@ -232,17 +223,6 @@
     this.startGeneration(snapshot, exchange.response);
   }
 
-  private recordStart(generation: Generation): void {
-    const record: ExecutionRecord = {
-      requestId: generation.requestId,
-      prompt: generation.prompt,
-      versions: generation.versions,
-      ended: 'running',
-    };
-    this.records.set(generation, record);
-    this.history.push(record);
-  }
-
   private fillSlots(): void {
     while (this.running.length < this.options.slots) {
       const next = this.waiting.shift();
@@ -270,14 +250,10 @@
   private removeGeneration(generation: Generation): void {
     this.running = this.running.filter(other => other !== generation);
     this.waiting = this.waiting.filter(other => other !== generation);
-    const record = this.records.get(generation);
-    if (record?.ended === 'running') {
-      record.ended = 'broken';
-      if (this.isKeepingBroken) {
-        this.broken.set(generation.requestId, copyGeneration(generation));
-      }
+    const isBroken = this.executions.recordEnd(generation, 'broken');
+    if (isBroken && this.isKeepingBroken) {
+      this.broken.set(generation.requestId, copyGeneration(generation));
     }
-    this.records.delete(generation);
     this.fillSlots();
   }
 
@@ -316,8 +292,7 @@
     });
     response.write('data: [DONE]\n\n');
     response.end();
-    const record = this.records.get(generation);
-    if (record !== undefined) record.ended = 'whole';
+    this.executions.recordEnd(generation, 'whole');
     this.removeGeneration(generation);
   }
 
@@ -380,7 +355,7 @@
     return {
       version: this.weights.version,
       crashes: this.crashes,
-      executions: this.history,
+      executions: this.executions.listRecords(),
     };
   }
 }
--- /dev/null
+++ b/packages/standins/src/execution_log.ts
@@ -0,0 +1,53 @@
+/** What the stand-in engine did for each request, as the truth for oracles. */
+import type {GenerationSnapshot} from './generation_snapshot';
+
+/** How an execution has ended. */
+export type ExecutionEnd = 'whole' | 'broken' | 'running';
+
+/** What the engine did for one request. */
+export interface ExecutionRecord {
+  readonly requestId: string;
+  readonly prompt: string;
+  /** Version of each generated token. */
+  readonly versions: readonly number[];
+  ended: ExecutionEnd;
+}
+
+/** Every execution of one engine. */
+export class ExecutionLog {
+  private readonly open = new Map<GenerationSnapshot, ExecutionRecord>();
+  private readonly history: ExecutionRecord[] = [];
+
+  private constructor() {}
+
+  /** Builds an empty log. */
+  static create(): ExecutionLog {
+    return new ExecutionLog();
+  }
+
+  /** Notes the start of a generation; its versions are followed. */
+  recordStart(generation: GenerationSnapshot): void {
+    const {requestId, prompt, versions} = generation;
+    const record: ExecutionRecord = {
+      requestId,
+      prompt,
+      versions,
+      ended: 'running',
+    };
+    this.open.set(generation, record);
+    this.history.push(record);
+  }
+
+  /** Notes the first end of a generation; false when it had ended before. */
+  recordEnd(generation: GenerationSnapshot, ended: ExecutionEnd): boolean {
+    const record = this.open.get(generation);
+    if (record === undefined) return false;
+    record.ended = ended;
+    return this.open.delete(generation);
+  }
+
+  /** Lists every execution in the order of starts. */
+  listRecords(): readonly ExecutionRecord[] {
+    return this.history;
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,6 +1,7 @@
 /** Small stand-ins at the interfaces to outside systems. */
 export * from './engine_options';
 export * from './engine_standin';
+export * from './execution_log';
 export * from './plain_service_standin';
 export * from './platform_standin';
 export * from './scoring_standin';
