Answer idempotency keys from the memory of their home

The home of a key is an endpoint by rendezvous hash; its agent keeps customer, key, fingerprint of the work and answer. A key that it does not hold runs only if it is a UUIDv7 made after the memory began (5 s of clock skew allowed), or another key once the agent has lived for as long as keys are kept. A change of the pool's endpoints counts as a new beginning.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export * from './runs/answer_buffer';
 export * from './runs/endpoint_driver';
 export * from './runs/expiring_map';
+export * from './runs/idempotency_table';
 export * from './runs/quarantine';
 export * from './runs/request_progress';
 export * from './runs/retry_budget';
--- a/packages/core/src/runs/request_progress.ts
+++ b/packages/core/src/runs/request_progress.ts
@@ -9,6 +9,7 @@
 /** Failures that another endpoint would answer in the same way. */
 const FINAL_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
   'bad-request',
+  'conflict',
   'quarantined',
   'deadline-exceeded',
   'deadline-unmeetable',
--- a/packages/harness/src/naive_entry.ts
+++ b/packages/harness/src/naive_entry.ts
@@ -47,6 +47,8 @@
       {node: 'naive', rulesRevision: 0},
       {
         receiveMessage: message => {
+          const isReady = message.endpoints[0]?.state === 'serving';
+          if (!isReady || message.rulesRevision === 0) return;
           handle.cancel();
           resolve(message);
         },
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -103,6 +103,8 @@
       log: this.log,
       metrics: this.metrics,
       getRulesRevision: () => this.rules.getRevisionNumber(),
+      getHomes: service =>
+        this.rules.getBook()?.findPool(service)?.endpoints ?? [],
     });
     this.peerServer = NodeServer.createAgent(this.createHandlers());
     this.operatorsServer = HttpServer.create(
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -7,6 +7,7 @@
   Clock,
   EndpointCondition,
   ErrorKind,
+  IdempotencyTable,
   Quarantine,
   Revocation,
   RunFailure,
@@ -33,6 +34,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {sendFailure, streamAnswer} from './answer_stream';
 import type {EndpointUnit} from './endpoint_unit';
+import {KeyClaims} from './key_claims';
 
 /** Refusal for each condition in which an endpoint takes no work. */
 const REFUSALS: Record<Exclude<EndpointCondition, 'serving'>, ErrorKind> = {
@@ -54,6 +56,10 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   getRulesRevision(): number;
+  /** Returns the names among which a service's keys have their homes. */
+  getHomes(service: string): readonly string[];
+  /** Key memory to use in place of an empty one. */
+  readonly keyTable?: IdempotencyTable;
 }
 
 /** Work of a run that waits for its slot. */
@@ -65,12 +71,23 @@
 /** All runs of one agent. */
 export class AgentRuns {
   private readonly table: RunTable;
+  private readonly keys: KeyClaims;
   private readonly pending = new Map<string, PendingWork>();
   private isDraining = false;
 
   private constructor(private readonly options: AgentRunsOptions) {
     const {incarnation} = options;
     this.table = options.table ?? RunTable.create({incarnation});
+    const {clock, getRulesRevision, getHomes} = options;
+    const units = [...options.units.values()];
+    const services = units.map(unit => unit.settings.service);
+    this.keys = KeyClaims.create({
+      clock,
+      services,
+      getRulesRevision,
+      getHomes,
+      table: options.keyTable,
+    });
   }
 
   /** Builds the runs of a new life of an agent. */
@@ -120,11 +137,29 @@
     });
     return admitted.andThen(admission => {
       if (admission.type !== 'new') return ok(admission);
-      const refusal = this.queueRun(request, admission.record, unit, work);
-      return refusal === undefined ? ok(admission) : err(refusal);
+      return this.takeNew(request, admission, unit, work);
     });
   }
 
+  private takeNew(
+    request: RunRequest,
+    admission: Extract<Admission, {type: 'new'}>,
+    unit: EndpointUnit,
+    work: Work,
+  ): Result<Admission, ServiceError> {
+    const {record} = admission;
+    const claim = this.keys.claimKey(request, record);
+    if (claim.isErr()) {
+      record.answer.fail(claim.error);
+    }
+    if (record.answer.isFinal()) {
+      this.table.markFinished(record, record.admittedAtTick);
+      return ok(admission);
+    }
+    const refusal = this.queueRun(request, record, unit, work);
+    return refusal === undefined ? ok(admission) : err(refusal);
+  }
+
   private findRefusal(
     request: RunRequest,
     unit: EndpointUnit,
@@ -323,6 +358,7 @@
       this.startWaiting(unit.settings.name);
     }
     this.table.removeExpired(tick);
+    this.keys.sweep();
   }
 
   private refuseExpired(key: string, tick: number): void {
--- /dev/null
+++ b/packages/server/src/agent/key_claims.ts
@@ -0,0 +1,121 @@
+/**
+ * Idempotency keys at the agent that is their home: the first call of a key
+ * runs, and each later one gets the answer of the first, "in progress" or
+ * "unknown".
+ */
+import {
+  AnswerBuffer,
+  AnswerFrame,
+  Clock,
+  IdempotencyTable,
+  KeyUse,
+  RunRecord,
+  ServiceError,
+  createError,
+  getErrorAnswer,
+} from '@sassafrasspan/core';
+import type {RunRequest} from '@sassafrasspan/nodes';
+import {Result, err, ok} from 'neverthrow';
+
+/** Time in which changed rules reach every node. */
+const RULES_SPREAD_MS = 9_000;
+
+/** What the claims of an agent are built from. */
+export interface KeyClaimsOptions {
+  readonly clock: Clock;
+  /** Services of the agent's endpoints. */
+  readonly services: readonly string[];
+  getRulesRevision(): number;
+  /** Returns the names among which a service's keys have their homes. */
+  getHomes(service: string): readonly string[];
+  /** Table to use in place of an empty one. */
+  readonly table?: IdempotencyTable;
+}
+
+/** The keys of one agent. */
+export class KeyClaims {
+  private readonly table: IdempotencyTable;
+  private readonly homes = new Map<string, string>();
+
+  private constructor(private readonly options: KeyClaimsOptions) {
+    const rememberedSinceWallMs = options.clock.readWallMs();
+    this.table =
+      options.table ?? IdempotencyTable.create({rememberedSinceWallMs});
+  }
+
+  /** Builds the memory of a new life of an agent. */
+  static create(options: KeyClaimsOptions): KeyClaims {
+    return new KeyClaims(options);
+  }
+
+  /**
+   * Claims the key of a call that is about to be queued. The call's answer is
+   * final afterwards if its key has an answer.
+   */
+  claimKey(request: RunRequest, record: RunRecord): Result<void, ServiceError> {
+    if (request.idempotencyKey === '') return ok(undefined);
+    if (request.rulesRevision !== this.options.getRulesRevision()) {
+      const detail = 'homes of keys are judged by one revision of the rules';
+      return err(createError('stale-rules', detail));
+    }
+    this.observeHomes();
+    const use = createUse(request);
+    const claim = this.table.claimKey(use, this.readMoment());
+    return claim.map(found => {
+      if (found.type === 'first') {
+        return this.followAnswer(use, record.answer);
+      }
+      record.answer.markAccepted();
+      found.answer.subscribe(0, frame => copyFrame(frame, record.answer));
+    });
+  }
+
+  private followAnswer(use: KeyUse, answer: AnswerBuffer): void {
+    answer.subscribe(0, frame => {
+      if (frame.type !== 'end' && frame.type !== 'failed') return;
+      if (isNotRun(frame)) this.table.releaseKey(use);
+      else this.table.recordAnswer(use, answer, this.readMoment().tick);
+    });
+  }
+
+  private readMoment() {
+    const {clock} = this.options;
+    return {tick: clock.readMonotonicMs(), wallMs: clock.readWallMs()};
+  }
+
+  /** Forgets what has expired and looks for homes that have moved. */
+  sweep(): void {
+    this.observeHomes();
+    this.table.removeExpired(this.readMoment().tick);
+  }
+
+  private observeHomes(): void {
+    for (const service of this.options.services) {
+      const homes = this.options.getHomes(service).join(' ');
+      const known = this.homes.get(service);
+      if (homes === '' || homes === known) continue;
+      this.homes.set(service, homes);
+      if (known === undefined) continue;
+      this.table.limitMemory(this.readMoment().wallMs + RULES_SPREAD_MS);
+    }
+  }
+}
+
+function createUse(request: RunRequest): KeyUse {
+  const {customer, fingerprint, idempotencyKey} = request;
+  return {customer, fingerprint, key: idempotencyKey};
+}
+
+function isNotRun(frame: AnswerFrame): boolean {
+  if (frame.type !== 'failed') return false;
+  return getErrorAnswer(frame.error).outcome === 'not-run';
+}
+
+function copyFrame(frame: AnswerFrame, answer: AnswerBuffer): void {
+  if (frame.type === 'head') answer.setHead(frame.head);
+  if (frame.type === 'end') answer.finish(frame.end);
+  if (frame.type === 'failed') answer.fail(frame.error);
+  if (frame.type !== 'chunk') return;
+  const {data, weightVersion, tokens} = frame.chunk;
+  answer.appendData(data, weightVersion, tokens);
+}
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -2,6 +2,7 @@
  * Sends requests to agents: chooses an endpoint, follows the attempt, and
  * retries what may be repeated.
  */
+import {createHash} from 'node:crypto';
 import type {AnswerSink, DispatchHandle} from '@sassafrasspan/callers';
 import {
   Clock,
@@ -20,7 +21,6 @@
   chooseEndpoint,
   createError,
   findHome,
-  hashText,
 } from '@sassafrasspan/core';
 import {RunRequest, encodeWork} from '@sassafrasspan/nodes';
 import {EventLog, Metrics, SYSTEM_SCHEDULER} from '@sassafrasspan/runtime';
@@ -28,6 +28,8 @@
 import type {NodeDirectory} from './node_directory';
 import {AttemptEnd, RunAttempt} from './run_attempt';
 
+const FINGERPRINT_DIGITS = 32;
+
 /** Failures after which the next attempt avoids the failure domain. */
 const CRASH_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
   'endpoint-failed',
@@ -328,5 +330,6 @@
     work.type === 'completion'
       ? work.bodyJson
       : `${work.method} ${work.path} ${Buffer.from(work.body).toString('hex')}`;
-  return `${customer}-${hashText(text).toString(36)}-${text.length}`;
+  const digest = createHash('sha256').update(text).digest('hex');
+  return `${customer}-${digest.slice(0, FINGERPRINT_DIGITS)}`;
 }
--- a/packages/server/src/entry/run_protocol.fuzz.test.ts
+++ b/packages/server/src/entry/run_protocol.fuzz.test.ts
@@ -38,6 +38,7 @@
     entry: entryName,
     isIdempotent: fc.boolean(),
     isStreamed: fc.boolean(),
+    idempotencyKey: fc.constant(''),
     budgetMs: fc.integer({min: 200, max: 12_000}),
   })
   .map(request =>
