--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -124,11 +124,22 @@
     await system.applyRules(plan.rules);
     await Promise.all(plan.endpoints.map(item => system.startEndpoint(item)));
     await Promise.all(plan.entries.map(item => system.startEntry(item)));
+    system.orderNodes();
     await system.publishVms([]);
     await system.waitUntilReady();
     return system;
   }
 
+  /** Puts the nodes in the order of the plan, however fast each started. */
+  private orderNodes(): void {
+    for (const {name} of listPlannedNodes(this.plan)) {
+      const nodes = this.entries.has(name) ? this.entries : this.agents;
+      const node = getOrThrow(nodes, name);
+      nodes.delete(name);
+      nodes.set(name, node);
+    }
+  }
+
   /** Applies a rules file; returns its revision. */
   async applyRules(text: string): Promise<number> {
     const parsed = parseRules(text);
@@ -296,14 +307,10 @@
       failureDomain: node.failureDomain,
       address: this.peerRelays.get(node.name)?.getAddress() ?? node.peers,
     });
-    const started = [
+    return [
       ...[...this.entries.values()].map(describeNode('entry')),
       ...[...this.agents.values()].map(describeNode('agent')),
     ];
-    const order = listPlannedNodes(this.plan).map(node => node.name);
-    return started.sort(
-      (a, b) => order.indexOf(a.name) - order.indexOf(b.name),
-    );
   }
 
   /** Sets faults of a stand-in. */
--- a/packages/runtime/src/http_server.ts
+++ b/packages/runtime/src/http_server.ts
@@ -15,6 +15,7 @@
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
 const DEFAULT_REQUEST_TIMEOUT_MS = 30_000;
 const KEEP_ALIVE_TIMEOUT_MS = 5_000;
+const DRAINING_KEEP_ALIVE_MS = 1_000;
 /** How late a slow sender may be noticed. */
 const TIMEOUT_CHECK_MS = 100;
 /** Time for a client to read an error before its connection is broken. */
@@ -74,7 +75,9 @@
 /** A listening HTTP server. */
 export class HttpServer {
   private readonly responses = new WeakMap<Duplex, ServerResponse>();
+  private readonly open = new Set<ServerResponse>();
   private openRequests = 0;
+  private isDraining = false;
 
   private constructor(
     private readonly server: Server,
@@ -93,6 +96,7 @@
     });
     const created = new HttpServer(server, routes, limits);
     server.on('request', (request, response) => {
+      created.trackResponse(response);
       void created.handleRequest(request, response);
     });
     server.on('clientError', (error: ClientError, socket) => {
@@ -101,6 +105,24 @@
     return created;
   }
 
+  private trackResponse(response: ServerResponse): void {
+    this.open.add(response);
+    response.on('close', () => this.open.delete(response));
+    if (this.isDraining) response.setHeader('connection', 'close');
+  }
+
+  /**
+   * Goes on answering, but tells each client with its answer that the
+   * connection takes no further request.
+   */
+  startDraining(): void {
+    this.isDraining = true;
+    this.server.keepAliveTimeout = DRAINING_KEEP_ALIVE_MS;
+    for (const response of this.open) {
+      if (!response.headersSent) response.setHeader('connection', 'close');
+    }
+  }
+
   private async handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -1,6 +1,7 @@
 /** The agent: composition of its parts, start and graceful stop. */
 import {randomUUID} from 'node:crypto';
 import {
+  ANSWER_KEEP_MS,
   Quarantine,
   RulesHolder,
   VERSION_HEAD_SCHEMA,
@@ -42,6 +43,8 @@
 const LOAD_INTERVAL_MS = 250;
 const DRAIN_POLL_MS = 50;
 const LINGER_MS = 1_000;
+/** Longest wait for answers that entries still read. */
+const PEER_LIMIT_MS = 5_000;
 const RULES_POLL_INTERVAL_MS = 60_000;
 
 /** Wire state of each status of a run. */
@@ -72,6 +75,7 @@
   );
   private readonly timers: NodeJS.Timeout[] = [];
   private isLeaving = false;
+  private stopping: Promise<void> | undefined;
 
   private constructor(private readonly settings: AgentSettings) {
     const {name, log} = settings;
@@ -144,23 +148,43 @@
     return {peers, operators};
   }
 
-  /** Takes no new work, finishes what runs, then stops. */
-  async stop(): Promise<void> {
-    if (this.isLeaving) return;
+  /**
+   * Takes no new work, finishes what runs, hands over the answers, then
+   * stops. Asked again, it goes on with the stop that is under way.
+   */
+  stop(): Promise<void> {
+    this.stopping ??= this.finishAndStop();
+    return this.stopping;
+  }
+
+  private async finishAndStop(): Promise<void> {
     this.log.writeEvent('process-draining');
     this.startLeaving();
     while (!this.runs.isIdle()) await waitMs(DRAIN_POLL_MS);
+    await this.waitForAcknowledgements();
     await waitMs(LINGER_MS);
     for (const timer of this.timers) clearInterval(timer);
     for (const watch of this.watches) watch.stop();
     this.feed.stop();
     this.weights.stop();
+    this.heartbeats.close();
+    await Promise.race([this.peerServer.close(), waitMs(PEER_LIMIT_MS)]);
     this.peerServer.destroy();
     this.operatorsServer.destroy();
     await this.store.close();
     this.log.writeEvent('process-stopped');
   }
 
+  /** Keeps answers for entries that have not got them whole yet. */
+  private async waitForAcknowledgements(): Promise<void> {
+    const startedMs = SYSTEM_CLOCK.readMonotonicMs();
+    while (this.runs.countKept() > 0) {
+      const waitedMs = SYSTEM_CLOCK.readMonotonicMs() - startedMs;
+      if (waitedMs >= ANSWER_KEEP_MS) return;
+      await waitMs(DRAIN_POLL_MS);
+    }
+  }
+
   private startLeaving(): void {
     this.isLeaving = true;
     for (const unit of this.units.values()) unit.markLeaving();
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -355,6 +355,11 @@
     if (record !== undefined) this.table.refuseQueued(record, error, tick);
   }
 
+  /** Returns how many answers are kept for entries that need them. */
+  countKept(): number {
+    return this.table.countRecords();
+  }
+
   /** Tells whether every run has ended. */
   isIdle(): boolean {
     const units = [...this.options.units.values()];
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -40,6 +40,10 @@
 const STEP_INTERVAL_MS = 100;
 const BALANCER_NOTICE_MS = 1_000;
 const DRAIN_POLL_MS = 50;
+/** Longest wait for callers that read their finished answers slowly. */
+const READER_LIMIT_MS = 60_000;
+/** Longest wait for calls that other entries have forwarded. */
+const PEER_LIMIT_MS = 25_000;
 
 /** Addresses in use by a started entry. */
 export interface EntryAddresses extends NodeAddresses {
@@ -79,6 +83,7 @@
   );
   private readonly timers: NodeJS.Timeout[] = [];
   private isLeaving = false;
+  private stopping: Promise<void> | undefined;
 
   private constructor(private readonly settings: EntrySettings) {
     const {name, log} = settings;
@@ -176,18 +181,30 @@
     return {peers, operators, callers};
   }
 
-  /** Fails readiness, lets the balancer notice, finishes, then stops. */
-  async stop(): Promise<void> {
-    if (this.isLeaving) return;
+  /**
+   * Fails readiness, lets the balancer notice, finishes, then stops. Asked
+   * again, it goes on with the stop that is under way.
+   */
+  stop(): Promise<void> {
+    this.stopping ??= this.finishAndStop();
+    return this.stopping;
+  }
+
+  private async finishAndStop(): Promise<void> {
     this.isLeaving = true;
     this.log.writeEvent('process-draining');
+    this.heartbeats.sendNow();
+    this.callersServer.startDraining();
     this.steps.stop();
     await waitMs(BALANCER_NOTICE_MS);
     const closed = this.callersServer.close();
     while (this.dispatcher.countOpen() > 0) await waitMs(DRAIN_POLL_MS);
-    await closed;
+    await Promise.race([closed, waitMs(READER_LIMIT_MS)]);
+    this.callersServer.destroy();
     for (const timer of this.timers) clearInterval(timer);
     this.feed.stop();
+    this.heartbeats.close();
+    await Promise.race([this.peerServer.close(), waitMs(PEER_LIMIT_MS)]);
     this.directory.stop();
     this.peerServer.destroy();
     this.operatorsServer.destroy();
