--- a/packages/harness/src/leaving_promise.test.ts
+++ b/packages/harness/src/leaving_promise.test.ts
@@ -157,23 +157,24 @@
   await waitFor(SLOW_CALL_MS);
   const stopped = stop(node);
   if (node.callersUrl !== '') await caller.stop();
-  await stopped;
+  const exitCode = await stopped;
   await caller.stop();
   const refused = caller.answers.filter(answer => answer.status !== 200);
   return {
+    exitCode,
     answered: caller.countStatus(200) > 0,
     cutOff: caller.cutOff,
     untrue: refused.filter(answer => answer.outcome !== 'not-run').length,
   };
 }
 
-async function stopTwice(node: StartedNode): Promise<void> {
+async function stopTwice(node: StartedNode): Promise<number | null> {
   node.process.sendSignal('SIGTERM');
   await waitFor(100);
-  await node.process.stop();
+  return node.process.stop();
 }
 
-const WHOLE = {answered: true, cutOff: 0, untrue: 0};
+const WHOLE = {exitCode: 0, answered: true, cutOff: 0, untrue: 0};
 
 describe('a graceful shutdown cuts off no request', () => {
   test('of an entry that is told twice', async () => {
