Build endpoint views without a spread

Cause: npm run bench:slopes gave 1,074 us of processor time for a choice among 60 endpoints; the profile gave 5 us a view to the spread in the fleet view. Ruled out: the rendezvous hash (252 of 9,900 ms sampled).

--- a/packages/core/src/membership/fleet_view.ts
+++ b/packages/core/src/membership/fleet_view.ts
@@ -144,14 +144,23 @@
     );
   }
 
+  /** Names each field, since a spread costs 5 us here on every choice. */
   private createView(
     report: AgentReport,
     endpoint: EndpointReport,
   ): EndpointView {
     const isLeaving = report.leaving || this.leavingVms.has(report.agent);
     return {
-      ...endpoint,
+      name: endpoint.name,
+      service: endpoint.service,
       state: isLeaving ? 'leaving' : endpoint.state,
+      running: endpoint.running,
+      queued: endpoint.queued,
+      slots: endpoint.slots,
+      kvUsePermille: endpoint.kvUsePermille,
+      weightVersion: endpoint.weightVersion,
+      queuedTokens: endpoint.queuedTokens,
+      tokensPerSecond: endpoint.tokensPerSecond,
       agent: report.agent,
       failureDomain: report.failureDomain,
       incarnation: report.incarnation,
--- a/packages/core/src/routing/choose_endpoint.ts
+++ b/packages/core/src/routing/choose_endpoint.ts
@@ -68,9 +68,9 @@
   request: RouteRequest,
   pool: readonly RouteCandidate[],
 ): CostedCandidate[] {
-  const ranked = rankPrefixHomes(request, pool);
+  const homes = rankPrefixHomes(request, pool);
   return pool.map(candidate => {
-    const rank = ranked.indexOf(candidate.endpoint.name);
+    const rank = homes.indexOf(candidate.endpoint.name);
     const prefixCost = PREFIX_COSTS[rank] ?? 1;
     const distanceCost = computeDistanceCost(request, candidate.endpoint);
     const cost = computeLoadCost(candidate) * prefixCost * distanceCost;
@@ -84,7 +84,8 @@
 ): string[] {
   if (request.prefixKey === '') return [];
   const names = pool.map(candidate => candidate.endpoint.name);
-  return rankByRendezvous(request.prefixKey, names);
+  const ranked = rankByRendezvous(request.prefixKey, names);
+  return ranked.slice(0, PREFIX_COSTS.length);
 }
 
 /** Returns the expected time at an endpoint, 1 for an idle and usual one. */
