Count an endpoint as serving only while its agent is heard

Cause: the harness read an entry's last report of an agent whatever its age, so a wait after a pause ended before the agent's first new heartbeat and the next call was truly refused as not run. Seen once as a timeout of run_promises.test.ts under load.

--- a/packages/harness/src/node_status.ts
+++ b/packages/harness/src/node_status.ts
@@ -1,5 +1,7 @@
 /** Reads the status pages of nodes and waits for conditions. */
 
+import {HEARTBEAT_TIMEOUT_MS} from '@sassafrasspan/core';
+
 const READY_POLL_MS = 50;
 const READY_TIMEOUT_MS = 30_000;
 
@@ -13,6 +15,8 @@
   readonly ready: boolean;
   readonly rulesRevision: number;
   readonly agents: ReadonlyArray<{
+    /** Age of the agent's last heartbeat in ms. */
+    readonly ageMs: number;
     readonly report: {
       readonly endpoints: ReadonlyArray<{
         readonly name: string;
@@ -31,7 +35,9 @@
 
 /** Returns how many endpoints an entry may send work to. */
 export function countServing(status: EntryStatus): number {
-  const endpoints = status.agents.flatMap(agent => agent.report.endpoints);
+  const endpoints = status.agents
+    .filter(agent => agent.ageMs <= HEARTBEAT_TIMEOUT_MS)
+    .flatMap(agent => agent.report.endpoints);
   return endpoints.filter(endpoint => endpoint.state === 'serving').length;
 }
 
