--- a/packages/harness/src/weight_versions.test.ts
+++ b/packages/harness/src/weight_versions.test.ts
@@ -4,7 +4,7 @@
  * fails partway, an agent killed during a swap, and a paused holder of an old
  * fencing number that wakes before an engine that ignores numbers.
  */
-import type {Sample} from '@sassafrasspan/core';
+import {Sample, formatStepIdentity, parseRunSlot} from '@sassafrasspan/core';
 import {TestTrainer} from './clients';
 import {waitUntil} from './node_status';
 import {
@@ -55,6 +55,12 @@
   temperature: 1,
 };
 
+const IDENTITY = formatStepIdentity({
+  trainer: 'briefs',
+  step: 'step-1',
+  description: STEP,
+});
+
 /** What an engine did, as it tells itself. */
 interface EngineTruth {
   readonly version: number | null;
@@ -96,7 +102,7 @@
     executions.some(
       run =>
         run.ended === 'whole' &&
-        run.requestId.startsWith(`step/briefs/step-1/${sample.slot}/`) &&
+        parseRunSlot(IDENTITY, run.requestId) === sample.slot &&
         run.versions.join() === listNamedVersions(sample).join(),
     );
   return samples.filter(sample => !isTrue(sample)).map(sample => sample.slot);
--- /dev/null
+++ b/packages/runtime/src/metric_table.ts
@@ -0,0 +1,13 @@
+/** What each metric says, for the help lines of the metrics page. */
+export const METRIC_HELP: Readonly<Record<string, string>> = {
+  platform_parts_down: 'Parts of the platform that do not answer this node.',
+  ready: 'Whether the node takes work: 1 or 0.',
+  request_ms: 'Time from dispatch to the whole answer, by service, in ms.',
+  requests_answered_total: 'Requests that were answered whole, by service.',
+  requests_failed_total: 'Requests that ended with an error, by kind.',
+  requests_refused_total: 'Requests refused before dispatch, by kind.',
+  retries_total: 'Attempts after the first, by kind of the failure before.',
+  run_ms: 'Time from admission at the agent to the end of the run, in ms.',
+  runs_ended_total: 'Runs that an endpoint has ended, by endpoint.',
+  runs_refused_total: 'Runs that the agent refused as not run, by kind.',
+};
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -1,20 +1,44 @@
 /**
- * Counters, gauges and histograms of a process, written as Prometheus text.
+ * Counters, gauges and histograms of a process, written as Prometheus text:
+ * histograms as summaries with quantiles, sum and count.
  */
-import {Histogram, build} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+import {HIGHEST_VALUE_MS, createHistogram} from './latency_histograms';
+import {METRIC_HELP} from './metric_table';
 
-const PERCENTILES = [50, 90, 99, 99.9];
-const HIGHEST_VALUE = 3_600_000;
-const SIGNIFICANT_DIGITS = 2;
+const PREFIX = 'sassafrasspan_';
+/** Percentiles of a summary, by the quantile that labels them. */
+const QUANTILES: Readonly<Record<string, number>> = {
+  '0.5': 50,
+  '0.9': 90,
+  '0.99': 99,
+  '0.999': 99.9,
+};
 
 /** Labels of a series. */
 export type Labels = Readonly<Record<string, string>>;
 
+/** A counter or gauge of one set of labels. */
+interface NumberSeries {
+  readonly labels: Labels;
+  value: number;
+}
+
+/** A histogram of one set of labels. */
+interface HistogramSeries {
+  readonly labels: Labels;
+  readonly histogram: Histogram;
+  sum: number;
+}
+
+/** The series of one name, by their labels. */
+type Family<T> = Map<string, T>;
+
 /** The metrics of one process. */
 export class Metrics {
-  private readonly counters = new Map<string, number>();
-  private readonly gauges = new Map<string, number>();
-  private readonly histograms = new Map<string, Histogram>();
+  private readonly counters = new Map<string, Family<NumberSeries>>();
+  private readonly gauges = new Map<string, Family<NumberSeries>>();
+  private readonly histograms = new Map<string, Family<HistogramSeries>>();
 
   private constructor() {}
 
@@ -25,69 +49,105 @@
 
   /** Adds to a counter. */
   addCount(name: string, labels: Labels = {}, by = 1): void {
-    const key = formatSeries(name, labels);
-    this.counters.set(key, (this.counters.get(key) ?? 0) + by);
+    openSeries(this.counters, name, labels, createNumber).value += by;
   }
 
   /** Sets a gauge. */
   setGauge(name: string, labels: Labels, value: number): void {
-    this.gauges.set(formatSeries(name, labels), value);
+    openSeries(this.gauges, name, labels, createNumber).value = value;
   }
 
   /** Records a duration in ms. */
   recordMs(name: string, labels: Labels, valueMs: number): void {
-    const key = formatSeries(name, labels);
-    let histogram = this.histograms.get(key);
-    if (histogram === undefined) {
-      histogram = build({
-        highestTrackableValue: HIGHEST_VALUE,
-        numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-        useWebAssembly: false,
-      });
-      this.histograms.set(key, histogram);
-    }
-    histogram.recordValue(Math.min(HIGHEST_VALUE, Math.round(valueMs)));
+    const series = openSeries(this.histograms, name, labels, createSummary);
+    const rounded = Math.max(0, Math.round(valueMs));
+    series.histogram.recordValue(Math.min(HIGHEST_VALUE_MS, rounded));
+    series.sum += rounded;
   }
 
   /** Returns the value of a counter. */
   getCount(name: string, labels: Labels = {}): number {
-    return this.counters.get(formatSeries(name, labels)) ?? 0;
+    return this.counters.get(name)?.get(formatLabels(labels))?.value ?? 0;
   }
 
   /** Writes every series in Prometheus text format. */
   formatPrometheus(): string {
-    const lines: string[] = [];
-    for (const [series, value] of this.counters) {
-      lines.push(`sassafrasspan_${series} ${value}`);
-    }
-    for (const [series, value] of this.gauges) {
-      lines.push(`sassafrasspan_${series} ${value}`);
-    }
-    for (const [series, histogram] of this.histograms) {
-      lines.push(...formatHistogram(series, histogram));
-    }
-    return `${lines.sort().join('\n')}\n`;
+    const families = [
+      ...formatFamilies(this.counters, 'counter', formatNumber),
+      ...formatFamilies(this.gauges, 'gauge', formatNumber),
+      ...formatFamilies(this.histograms, 'summary', formatSummary),
+    ];
+    return families.sort().join('');
   }
 }
 
-function formatSeries(name: string, labels: Labels): string {
-  const parts = Object.entries(labels).map(([key, value]) => {
-    const escaped = value.replaceAll('\\', '\\\\').replaceAll('"', '\\"');
-    return `${key}="${escaped}"`;
+function openSeries<T>(
+  families: Map<string, Family<T>>,
+  name: string,
+  labels: Labels,
+  create: (labels: Labels) => T,
+): T {
+  const family = families.get(name) ?? new Map<string, T>();
+  families.set(name, family);
+  const key = formatLabels(labels);
+  const series = family.get(key) ?? create(labels);
+  family.set(key, series);
+  return series;
+}
+
+function createNumber(labels: Labels): NumberSeries {
+  return {labels, value: 0};
+}
+
+function createSummary(labels: Labels): HistogramSeries {
+  return {labels, histogram: createHistogram(), sum: 0};
+}
+
+/** Writes each family with its help and type, as one text. */
+function formatFamilies<T>(
+  families: ReadonlyMap<string, Family<T>>,
+  type: string,
+  formatSeries: (name: string, series: T) => string[],
+): string[] {
+  return [...families].map(([name, family]) => {
+    const full = PREFIX + name;
+    const help = METRIC_HELP[name] ?? name.replaceAll('_', ' ');
+    const lines = [...family.values()].flatMap(series =>
+      formatSeries(full, series),
+    );
+    const head = [`# HELP ${full} ${help}`, `# TYPE ${full} ${type}`];
+    return [...head, ...lines.sort(), ''].join('\n');
   });
-  return parts.length === 0 ? name : `${name}{${parts.join(',')}}`;
 }
 
-function formatHistogram(series: string, histogram: Histogram): string[] {
-  const brace = series.indexOf('{');
-  const name = brace < 0 ? series : series.slice(0, brace);
-  const labels = brace < 0 ? '' : `${series.slice(brace + 1, -1)},`;
-  const suffix = brace < 0 ? '' : series.slice(brace);
-  const lines = PERCENTILES.map(percentile => {
-    const quantile = percentile / 100;
+function formatNumber(name: string, series: NumberSeries): string[] {
+  return [`${name}${formatLabels(series.labels)} ${series.value}`];
+}
+
+function formatSummary(name: string, series: HistogramSeries): string[] {
+  const {labels, histogram, sum} = series;
+  const quantiles = Object.entries(QUANTILES).map(([quantile, percentile]) => {
     const value = histogram.getValueAtPercentile(percentile);
-    return `sassafrasspan_${name}{${labels}quantile="${quantile}"} ${value}`;
+    return `${name}${formatLabels({...labels, quantile})} ${value}`;
   });
-  const count = `sassafrasspan_${name}_count${suffix} ${histogram.totalCount}`;
-  return [...lines, count];
+  const suffix = formatLabels(labels);
+  return [
+    ...quantiles,
+    `${name}_sum${suffix} ${sum}`,
+    `${name}_count${suffix} ${histogram.totalCount}`,
+  ];
+}
+
+function formatLabels(labels: Labels): string {
+  const parts = Object.entries(labels).map(
+    ([key, value]) => `${key}="${escapeLabel(value)}"`,
+  );
+  return parts.length === 0 ? '' : `{${parts.join(',')}}`;
+}
+
+function escapeLabel(value: string): string {
+  return value
+    .replaceAll('\\', '\\\\')
+    .replaceAll('"', '\\"')
+    .replaceAll('\n', '\\n');
 }
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -5,9 +5,9 @@
 import {
   Admission,
   Clock,
-  EndpointCondition,
-  ErrorKind,
   IdempotencyTable,
+  LeaveState,
+  PauseDetector,
   Quarantine,
   Revocation,
   RunFailure,
@@ -34,15 +34,11 @@
 import {Result, err, ok} from 'neverthrow';
 import {sendFailure, streamAnswer} from './answer_stream';
 import type {EndpointUnit} from './endpoint_unit';
+import {createConditionRefusal} from './condition_refusals';
 import {KeyClaims} from './key_claims';
 
-/** Refusal for each condition in which an endpoint takes no work. */
-const REFUSALS: Record<Exclude<EndpointCondition, 'serving'>, ErrorKind> = {
-  down: 'endpoint-refused',
-  leaving: 'draining',
-  swapping: 'overloaded',
-  'unknown-version': 'version-unknown',
-};
+const LATE = 'the deadline passed while the request waited';
+const MISSED_DEADLINE = createError('deadline-unmeetable', LATE);
 
 /** What the runs of an agent are built from. */
 export interface AgentRunsOptions {
@@ -73,7 +69,8 @@
   private readonly table: RunTable;
   private readonly keys: KeyClaims;
   private readonly pending = new Map<string, PendingWork>();
-  private isDraining = false;
+  private readonly leaves = LeaveState.create();
+  private readonly pauses = PauseDetector.create();
 
   private constructor(private readonly options: AgentRunsOptions) {
     const {incarnation} = options;
@@ -133,7 +130,9 @@
     const admitted = this.table.admitDispatch(request, {
       rulesRevision: this.options.getRulesRevision(),
       tick: this.options.clock.readMonotonicMs(),
-      refusal: this.findRefusal(request, unit),
+      refusal: this.keys.isMaybeUsed(request)
+        ? undefined
+        : this.findRefusal(request, unit),
     });
     return admitted.andThen(admission => {
       if (admission.type !== 'new') return ok(admission);
@@ -167,10 +166,10 @@
     if (this.options.quarantine.isQuarantined(request.fingerprint)) {
       return createError('quarantined', 'this request crashes endpoints');
     }
-    if (this.isDraining) return createError('draining', 'the agent is leaving');
-    const condition = unit.getCondition();
-    if (condition === 'serving') return undefined;
-    return createError(REFUSALS[condition], `the endpoint is ${condition}`);
+    if (this.pauses.isWaking(this.options.clock.readMonotonicMs())) {
+      return createError('stale-dispatch', 'the agent has just woken');
+    }
+    return createConditionRefusal(unit.getCondition());
   }
 
   private queueRun(
@@ -179,16 +178,16 @@
     unit: EndpointUnit,
     work: Work,
   ): ServiceError | undefined {
-    const isQueued = unit.queue.offerWork({
+    const refusal = unit.queue.offerWork({
       requestId: record.key,
       customer: request.customer,
       priority: request.priority,
       expectedTokens: request.expectedTokens,
       deadlineTick: record.admittedAtTick + request.budgetMs,
     });
-    if (!isQueued) {
-      const detail = 'the queue of the endpoint is full';
-      const error = createError('overloaded', detail);
+    if (refusal !== undefined) {
+      const detail = 'the queue of the endpoint is too long';
+      const error = createError(refusal, detail);
       this.table.refuseQueued(record, error, record.admittedAtTick);
       return error;
     }
@@ -201,6 +200,9 @@
   private startWaiting(endpoint: string): void {
     const unit = this.options.units.get(endpoint);
     if (unit === undefined || unit.getCondition() === 'down') return;
+    const tick = this.options.clock.readMonotonicMs();
+    const isOverdue = this.leaves.isOverdue(endpoint, tick);
+    if (isOverdue || this.pauses.isWaking(tick)) return;
     for (;;) {
       const next = unit.queue.takeNext();
       if (next === undefined) return;
@@ -351,28 +353,33 @@
   /** Ends what has waited past its deadline and forgets what has expired. */
   sweep(): void {
     const tick = this.options.clock.readMonotonicMs();
+    this.pauses.observeTime(tick);
     for (const unit of this.options.units.values()) {
       for (const work of unit.queue.takeExpired(tick)) {
-        this.refuseExpired(work.requestId, tick);
+        this.refuseWaiting(work.requestId, MISSED_DEADLINE, tick);
       }
+      this.refuseLeft(unit, tick);
       this.startWaiting(unit.settings.name);
     }
     this.table.removeExpired(tick);
     this.keys.sweep();
   }
 
-  private refuseExpired(key: string, tick: number): void {
-    this.pending.delete(key);
-    const record = this.table.findByKey(key);
-    if (record === undefined) return;
-    const detail = 'the deadline passed while the request waited';
-    const error = createError('deadline-unmeetable', detail);
-    this.table.refuseQueued(record, error, tick);
+  /** Refuses what still waits for an endpoint whose time is over. */
+  private refuseLeft(unit: EndpointUnit, tick: number): void {
+    const {name} = unit.settings;
+    this.leaves.observeEndpoint(name, unit.getCondition(), tick);
+    if (!this.leaves.isOverdue(name, tick)) return;
+    const error = createError('draining', 'the endpoint is leaving');
+    for (const work of unit.queue.takeExpired(Infinity)) {
+      this.refuseWaiting(work.requestId, error, tick);
+    }
   }
 
-  /** Takes no new work from now on. */
-  startDraining(): void {
-    this.isDraining = true;
+  private refuseWaiting(key: string, error: ServiceError, tick: number): void {
+    this.pending.delete(key);
+    const record = this.table.findByKey(key);
+    if (record !== undefined) this.table.refuseQueued(record, error, tick);
   }
 
   /** Tells whether every run has ended. */
--- a/packages/server/src/shared/operators_routes.ts
+++ b/packages/server/src/shared/operators_routes.ts
@@ -21,6 +21,8 @@
   isReady(): boolean;
   /** Describes the state of the process as JSON data. */
   describeStatus(): object;
+  /** Describes the events of promises, where the process counts them. */
+  describeBurn?(): object;
 }
 
 /** Builds the routes that every node has. */
@@ -42,8 +44,13 @@
     {
       method: 'GET',
       path: '/metrics',
-      handler: ({response}) =>
-        sendText(response, PROMETHEUS_TYPE, backend.metrics.formatPrometheus()),
+      handler: ({response}) => {
+        const {metrics, decisions} = backend;
+        const outages = decisions.listOutages().length;
+        metrics.setGauge('platform_parts_down', {}, outages);
+        metrics.setGauge('ready', {}, backend.isReady() ? 1 : 0);
+        sendText(response, PROMETHEUS_TYPE, metrics.formatPrometheus());
+      },
     },
     {
       method: 'GET',
@@ -60,6 +67,14 @@
         sendJson(response, 200, status);
       },
     },
+    {
+      method: 'GET',
+      path: '/burn',
+      handler: ({response}) => {
+        const counted = backend.describeBurn?.() ?? {promises: []};
+        sendJson(response, 200, {node: backend.node, ...counted});
+      },
+    },
     {
       method: 'GET',
       path: '/explain/:request',
--- a/packages/server/src/testing/run_world.ts
+++ b/packages/server/src/testing/run_world.ts
@@ -122,6 +122,7 @@
         maxQueued: 4,
         fencing: 'checks',
       },
+      this.network,
       createWorldDriver({
         network: this.network,
         random: this.random,
