Stop a crashing request after two crashes, and run suspects alone

Crashes have names (Failed.crash_id), spread in heartbeats of agents and entries that are sent at once when a suspicion is new, and go with a dispatch (RunRequest.crash_id), so that crashes at different agents count together and none counts twice. Neighbours of one crash are retried at the same endpoint as its cause; a second crash would implicate them again. A suspect therefore runs alone: its endpoint starts nothing beside it.

--- a/packages/core/src/errors/error_kinds.ts
+++ b/packages/core/src/errors/error_kinds.ts
@@ -231,10 +231,15 @@
   readonly outcome?: Outcome;
   /** When a retry can help, in ms, where it differs from the table. */
   readonly retryAfterMs?: number;
+  /** Names the crash of an endpoint that ended the work. */
+  readonly crashId?: string;
 }
 
 /** What an error may say beyond its kind and detail. */
-export type ErrorExtras = Pick<ServiceError, 'outcome' | 'retryAfterMs'>;
+export type ErrorExtras = Pick<
+  ServiceError,
+  'outcome' | 'retryAfterMs' | 'crashId'
+>;
 
 /** Builds an error value of a listed kind. */
 export function createError(
--- a/packages/core/src/runs/quarantine.ts
+++ b/packages/core/src/runs/quarantine.ts
@@ -1,14 +1,25 @@
 /**
  * Requests that crash the endpoints that run them. A crash implicates every
- * request in flight; a later success clears one; the second crash quarantines.
+ * request in flight; a second crash quarantines. Crashes are told apart by
+ * name, so that those at different agents count together and none counts
+ * twice. A suspect runs alone, so that no second crash can implicate a
+ * request that was only beside the cause of the first.
  */
 
 const QUARANTINE_THRESHOLD = 2;
+const MAX_SUSPECTS = 1_000;
+
+/** Crashes of endpoints while a request was running. */
+export interface CrashSuspicion {
+  readonly fingerprint: string;
+  readonly crashIds: readonly string[];
+}
 
 /** Suspicions and verdicts on request fingerprints. */
 export class Quarantine {
-  private readonly crashes = new Map<string, number>();
+  private readonly crashes = new Map<string, Set<string>>();
   private readonly quarantined = new Set<string>();
+  private readonly listeners = new Set<() => void>();
 
   private constructor() {}
 
@@ -18,16 +29,31 @@
   }
 
   /** Notes the requests in flight at a crash; returns the newly refused. */
-  implicate(fingerprints: readonly string[]): string[] {
+  implicate(fingerprints: readonly string[], crashId: string): string[] {
+    return this.addSuspicions(
+      fingerprints.map(fingerprint => ({fingerprint, crashIds: [crashId]})),
+    );
+  }
+
+  /** Takes over suspicions of a peer; returns the newly refused. */
+  addSuspicions(suspicions: readonly CrashSuspicion[]): string[] {
+    let hasNews = false;
     const fresh: string[] = [];
-    for (const fingerprint of new Set(fingerprints)) {
-      const count = (this.crashes.get(fingerprint) ?? 0) + 1;
-      this.crashes.set(fingerprint, count);
-      if (count < QUARANTINE_THRESHOLD) continue;
+    for (const {fingerprint, crashIds} of suspicions) {
+      const known = this.crashes.get(fingerprint) ?? new Set<string>();
+      const before = known.size;
+      for (const crashId of crashIds) known.add(crashId);
+      if (known.size === before) continue;
+      hasNews = true;
+      this.crashes.set(fingerprint, known);
+      if (known.size < QUARANTINE_THRESHOLD) continue;
       if (this.quarantined.has(fingerprint)) continue;
       this.quarantined.add(fingerprint);
       fresh.push(fingerprint);
     }
+    trimOldest(this.crashes);
+    trimOldest(this.quarantined);
+    if (hasNews) this.notifyListeners();
     return fresh;
   }
 
@@ -46,8 +72,44 @@
     return this.quarantined.has(fingerprint);
   }
 
+  /** Tells whether a request was in flight at a crash. */
+  isSuspect(fingerprint: string): boolean {
+    return this.crashes.has(fingerprint);
+  }
+
+  /** Returns the name of a crash that implicated a request. */
+  findCrashId(fingerprint: string): string | undefined {
+    return this.crashes.get(fingerprint)?.values().next().value;
+  }
+
   /** Lists the refused fingerprints. */
   listQuarantined(): string[] {
     return [...this.quarantined];
   }
+
+  /** Lists the suspicions. */
+  listSuspicions(): CrashSuspicion[] {
+    return [...this.crashes].map(([fingerprint, crashIds]) => ({
+      fingerprint,
+      crashIds: [...crashIds],
+    }));
+  }
+
+  /** Calls a listener after each new suspicion, until it is removed. */
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  private notifyListeners(): void {
+    for (const listener of [...this.listeners]) listener();
+  }
+}
+
+/** Drops the oldest entries of a collection over its bound. */
+function trimOldest(collection: Map<string, unknown> | Set<string>): void {
+  for (const name of collection.keys()) {
+    if (collection.size <= MAX_SUSPECTS) return;
+    collection.delete(name);
+  }
 }
--- a/packages/nodes/src/frames.ts
+++ b/packages/nodes/src/frames.ts
@@ -101,7 +101,7 @@
     detail: error.detail,
     outcome: answer.outcome,
     retryAfterMs: answer.retryAfterMs,
-    crashId: '',
+    crashId: error.crashId ?? '',
   };
 }
 
@@ -127,9 +127,11 @@
 /** Reads a failure. */
 export function decodeFailure(failed: Failed): ServiceError {
   const {retryAfterMs} = failed;
+  const crashId = failed.crashId === '' ? undefined : failed.crashId;
   return createError(readErrorKind(failed.kind), failed.detail, {
     outcome: readOutcome(failed.outcome),
     retryAfterMs,
+    crashId,
   });
 }
 
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -138,6 +138,7 @@
     );
     await this.weights.start();
     this.feed.start();
+    this.quarantine.subscribe(() => this.heartbeats.sendNow());
     for (const watch of this.watches) void watch.run();
     this.addTimer(SWEEP_INTERVAL_MS, () => this.runs.sweep());
     this.addTimer(LOAD_INTERVAL_MS, () => this.refreshUnits());
@@ -304,7 +305,10 @@
       quarantined: this.quarantine.listQuarantined(),
       leaving: this.isLeaving,
       versionHeads: [],
-      suspicions: [],
+      suspicions: this.quarantine.listSuspicions().map(item => ({
+        fingerprint: item.fingerprint,
+        crashIds: [...item.crashIds],
+      })),
     };
   }
 }
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -4,19 +4,16 @@
  */
 import {
   Admission,
-  Clock,
-  IdempotencyTable,
   LeaveState,
   PauseDetector,
-  Quarantine,
   Revocation,
   RunFailure,
   RunRecord,
   RunSink,
   RunStatus,
   RunTable,
-  Scheduler,
   ServiceError,
+  SuspectLane,
   Work,
   createError,
   formatRunKey,
@@ -30,34 +27,17 @@
   decodeWork,
   encodeRefusal,
 } from '@sassafrasspan/nodes';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
+import type {AgentRunsOptions} from './agent_runs_options';
 import {sendFailure, streamAnswer} from './answer_stream';
 import type {EndpointUnit} from './endpoint_unit';
 import {createConditionRefusal} from './condition_refusals';
+import {CrashWatch} from './crash_watch';
 import {KeyClaims} from './key_claims';
 
 const LATE = 'the deadline passed while the request waited';
 const MISSED_DEADLINE = createError('deadline-unmeetable', LATE);
 
-/** What the runs of an agent are built from. */
-export interface AgentRunsOptions {
-  readonly incarnation: string;
-  readonly units: ReadonlyMap<string, EndpointUnit>;
-  readonly quarantine: Quarantine;
-  readonly clock: Clock;
-  readonly scheduler: Scheduler;
-  /** Table to use in place of an empty one. */
-  readonly table?: RunTable;
-  readonly log: EventLog;
-  readonly metrics: Metrics;
-  getRulesRevision(): number;
-  /** Returns the names among which a service's keys have their homes. */
-  getHomes(service: string): readonly string[];
-  /** Key memory to use in place of an empty one. */
-  readonly keyTable?: IdempotencyTable;
-}
-
 /** Work of a run that waits for its slot. */
 interface PendingWork {
   readonly work: Work;
@@ -68,6 +48,8 @@
 export class AgentRuns {
   private readonly table: RunTable;
   private readonly keys: KeyClaims;
+  private readonly crashes: CrashWatch;
+  private readonly lanes = new Map<string, SuspectLane>();
   private readonly pending = new Map<string, PendingWork>();
   private readonly leaves = LeaveState.create();
   private readonly pauses = PauseDetector.create();
@@ -78,6 +60,7 @@
     const {clock, getRulesRevision, getHomes} = options;
     const units = [...options.units.values()];
     const services = units.map(unit => unit.settings.service);
+    this.crashes = CrashWatch.create({...options, table: this.table});
     this.keys = KeyClaims.create({
       clock,
       services,
@@ -125,6 +108,7 @@
       const detail = `no endpoint ${request.endpoint} here`;
       return err(createError('no-endpoint', detail));
     }
+    this.adoptSuspicion(request);
     const work = decodeWork(request.work);
     if (work === undefined) return err(createError('bad-request', 'no work'));
     const admitted = this.table.admitDispatch(request, {
@@ -140,6 +124,12 @@
     });
   }
 
+  private adoptSuspicion(request: RunRequest): void {
+    const {fingerprint, crashId} = request;
+    if (crashId === undefined) return;
+    this.options.quarantine.implicate([fingerprint], crashId);
+  }
+
   private takeNew(
     request: RunRequest,
     admission: Extract<Admission, {type: 'new'}>,
@@ -178,12 +168,22 @@
     unit: EndpointUnit,
     work: Work,
   ): ServiceError | undefined {
+    const {priority} = request;
+    const deadlineTick = record.admittedAtTick + request.budgetMs;
+    if (this.options.quarantine.isSuspect(request.fingerprint)) {
+      this.pending.set(record.key, {work, priority});
+      this.getLane(request.endpoint).addSuspect({
+        key: record.key,
+        deadlineTick,
+      });
+      return undefined;
+    }
     const refusal = unit.queue.offerWork({
       requestId: record.key,
       customer: request.customer,
-      priority: request.priority,
+      priority,
       expectedTokens: request.expectedTokens,
-      deadlineTick: record.admittedAtTick + request.budgetMs,
+      deadlineTick,
     });
     if (refusal !== undefined) {
       const detail = 'the queue of the endpoint is too long';
@@ -191,11 +191,16 @@
       this.table.refuseQueued(record, error, record.admittedAtTick);
       return error;
     }
-    const {priority} = request;
     this.pending.set(record.key, {work, priority});
     return undefined;
   }
 
+  private getLane(endpoint: string): SuspectLane {
+    const lane = this.lanes.get(endpoint) ?? SuspectLane.create();
+    this.lanes.set(endpoint, lane);
+    return lane;
+  }
+
   /** Hands waiting work to an endpoint while it has free slots. */
   private startWaiting(endpoint: string): void {
     const unit = this.options.units.get(endpoint);
@@ -203,6 +208,8 @@
     const tick = this.options.clock.readMonotonicMs();
     const isOverdue = this.leaves.isOverdue(endpoint, tick);
     if (isOverdue || this.pauses.isWaking(tick)) return;
+    const lane = this.getLane(endpoint);
+    if (lane.isOccupied()) return this.startSuspect(unit, lane);
     for (;;) {
       const next = unit.queue.takeNext();
       if (next === undefined) return;
@@ -210,6 +217,13 @@
     }
   }
 
+  /** Starts a suspect once nothing else runs. */
+  private startSuspect(unit: EndpointUnit, lane: SuspectLane): void {
+    if (unit.handles.size > 0) return;
+    const next = lane.takeNext();
+    if (next !== undefined) this.startRun(unit, next.key, next.deadlineTick);
+  }
+
   private startRun(
     unit: EndpointUnit,
     key: string,
@@ -219,6 +233,7 @@
     const pending = this.pending.get(key);
     this.pending.delete(key);
     if (record === undefined || pending === undefined) {
+      this.getLane(unit.settings.name).endSuspect(key);
       unit.queue.releaseSlot(key);
       return;
     }
@@ -252,31 +267,19 @@
     record: RunRecord,
     failure: RunFailure,
   ): void {
-    if (failure.isCrash) this.recordCrash(unit);
-    record.answer.fail(failure.error);
+    const crashId = failure.isCrash
+      ? this.crashes.recordCrash(unit, record.key)
+      : undefined;
+    record.answer.fail({...failure.error, crashId});
     this.endRun(unit, record);
   }
 
-  /** Implicates every request that the endpoint was running. */
-  private recordCrash(unit: EndpointUnit): void {
-    if (unit.getCondition() === 'down') return;
-    const fingerprints = [...unit.handles.keys()].flatMap(requestId => {
-      const record = this.table.findByKey(requestId);
-      return record === undefined ? [] : [record.dispatch.fingerprint];
-    });
-    unit.markCrashed();
-    const endpoint = unit.settings.name;
-    const running = fingerprints.length;
-    this.options.log.writeEvent('endpoint-crashed', {endpoint, running});
-    for (const fingerprint of this.options.quarantine.implicate(fingerprints)) {
-      this.options.log.writeEvent('request-quarantined', {fingerprint});
-    }
-  }
-
   private endRun(unit: EndpointUnit, record: RunRecord): void {
     const {requestId} = record.dispatch;
     const tick = this.options.clock.readMonotonicMs();
     unit.handles.delete(record.key);
+    this.crashes.removeRun(record.key);
+    this.getLane(unit.settings.name).endSuspect(record.key);
     unit.queue.releaseSlot(record.key);
     this.table.markFinished(record, tick);
     this.options.metrics.addCount('runs_ended_total', {
@@ -342,6 +345,7 @@
     this.pending.delete(key);
     for (const unit of this.options.units.values()) {
       unit.queue.removeWaiting(key);
+      this.getLane(unit.settings.name).removeSuspect(key);
     }
   }
 
@@ -386,7 +390,9 @@
   isIdle(): boolean {
     const units = [...this.options.units.values()];
     return units.every(
-      unit => unit.queue.countRunning() + unit.queue.countWaiting() === 0,
+      unit =>
+        unit.queue.countRunning() + unit.queue.countWaiting() === 0 &&
+        !this.getLane(unit.settings.name).isOccupied(),
     );
   }
 }
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -168,6 +168,7 @@
       const ended = await this.runAttempt(state, chosen.value, number);
       if (ended.type === 'whole') {
         state.request.keepAnswer?.(chosen.value.agent);
+        this.options.quarantine.clear(state.request.fingerprint);
         this.retryBudget.recordSuccess();
         state.sink.finish(ended.end);
         return undefined;
@@ -176,6 +177,10 @@
         await this.options.directory.reconcileRules(chosen.value.agent);
         continue;
       }
+      const {crashId} = ended.error;
+      if (crashId !== undefined) {
+        this.options.quarantine.implicate([state.request.fingerprint], crashId);
+      }
       const canRepeat = this.prepareRetry(state, chosen.value, ended);
       const error = progress.withOutcome(ended.error);
       if (!canRepeat) return error;
@@ -311,6 +316,7 @@
       minVersion: request.minVersion ?? 0,
       entry: this.options.entry,
       prefixKey: request.prefixKey,
+      crashId: this.options.quarantine.findCrashId(request.fingerprint),
       work: encodeWork(request.work),
     };
   }
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -164,6 +164,7 @@
     );
     const callers = await this.callersServer.listen(this.settings.callers);
     this.feed.start();
+    this.quarantine.subscribe(() => this.heartbeats.sendNow());
     this.directory.start();
     void this.directory.refresh();
     this.addTimer(VM_LIST_INTERVAL_MS, () => void this.directory.refresh());
@@ -276,7 +277,10 @@
       digests: [],
       quarantined: this.quarantine.listQuarantined(),
       versionHeads: [],
-      suspicions: [],
+      suspicions: this.quarantine.listSuspicions().map(item => ({
+        fingerprint: item.fingerprint,
+        crashIds: [...item.crashIds],
+      })),
     };
   }
 
--- a/packages/server/src/entry/node_directory.ts
+++ b/packages/server/src/entry/node_directory.ts
@@ -185,6 +185,7 @@
     const nowMs = this.markSeen(watched);
     this.options.fleet.applyReport(parseAgentReport(heartbeat), nowMs);
     this.options.quarantine.addVerdicts(heartbeat.quarantined);
+    this.options.quarantine.addSuspicions(heartbeat.suspicions);
     const {agent, rulesRevision} = heartbeat;
     this.spreader.recordAgent(agent, watched.client, rulesRevision);
   }
@@ -223,6 +224,7 @@
     watched.heartbeat = heartbeat;
     this.markSeen(watched);
     this.options.quarantine.addVerdicts(heartbeat.quarantined);
+    this.options.quarantine.addSuspicions(heartbeat.suspicions);
     const {rulesRevision} = heartbeat;
     void this.options.feed.followPeer(watched.client, rulesRevision);
   }
