--- a/packages/core/src/runs/idempotency_table.ts
+++ b/packages/core/src/runs/idempotency_table.ts
@@ -91,6 +91,12 @@
     return ok({type: 'first'});
   }
 
+  /** Tells whether a key has surely not been used yet. */
+  isUnused(use: KeyUse, moment: KeyMoment): boolean {
+    const isKnown = this.records.has(formatName(use));
+    return !isKnown && this.isFresh(use.key, moment);
+  }
+
   /**
    * Tells whether a key cannot have been used before the table's memory. A
    * UUIDv7 shows its age; any other key counts as old as keys may be.
--- a/packages/server/src/agent/key_claims.ts
+++ b/packages/server/src/agent/key_claims.ts
@@ -48,6 +48,16 @@
     return new KeyClaims(options);
   }
 
+  /**
+   * Tells whether a call brings a key that may have been used: its home then
+   * answers for the key, whatever the endpoint's condition.
+   */
+  isMaybeUsed(request: RunRequest): boolean {
+    if (request.idempotencyKey === '') return false;
+    this.observeHomes();
+    return !this.table.isUnused(createUse(request), this.readMoment());
+  }
+
   /**
    * Claims the key of a call that is about to be queued. The call's answer is
    * final afterwards if its key has an answer.
