--- a/packages/core/src/membership/leave_state.ts
+++ b/packages/core/src/membership/leave_state.ts
@@ -8,7 +8,7 @@
 import type {EndpointCondition} from './fleet_view';
 
 /** Waiting work is started for this long after leaving began. */
-export const START_GRACE_MS = 1_500;
+export const START_GRACE_MS = 500;
 
 /** Which endpoints of an agent are leaving, and since when. */
 export class LeaveState {
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -56,6 +56,8 @@
   readonly scheduler: Scheduler;
   /** Table to use in place of an empty one. */
   readonly table?: RunTable;
+  /** Detector to use in place of a new one. */
+  readonly pauses?: PauseDetector;
   readonly log: EventLog;
   readonly metrics: Metrics;
   getRulesRevision(): number;
@@ -72,11 +74,12 @@
   private readonly table: RunTable;
   private readonly pending = new Map<string, PendingWork>();
   private readonly leaves = LeaveState.create();
-  private readonly pauses = PauseDetector.create();
+  private readonly pauses: PauseDetector;
 
   private constructor(private readonly options: AgentRunsOptions) {
     const {incarnation} = options;
     this.table = options.table ?? RunTable.create({incarnation});
+    this.pauses = options.pauses ?? PauseDetector.create();
   }
 
   /** Builds the runs of a new life of an agent. */
