--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -52,11 +52,12 @@
   private readonly lanes = new Map<string, SuspectLane>();
   private readonly pending = new Map<string, PendingWork>();
   private readonly leaves = LeaveState.create();
-  private readonly pauses = PauseDetector.create();
+  private readonly pauses: PauseDetector;
 
   private constructor(private readonly options: AgentRunsOptions) {
     const {incarnation} = options;
     this.table = options.table ?? RunTable.create({incarnation});
+    this.pauses = options.pauses ?? PauseDetector.create();
     const {clock, getRulesRevision, getHomes} = options;
     const units = [...options.units.values()];
     const services = units.map(unit => unit.settings.service);
--- a/packages/server/src/agent/agent_runs_options.ts
+++ b/packages/server/src/agent/agent_runs_options.ts
@@ -2,6 +2,7 @@
 import type {
   Clock,
   IdempotencyTable,
+  PauseDetector,
   Quarantine,
   RunTable,
   Scheduler,
@@ -18,6 +19,8 @@
   readonly scheduler: Scheduler;
   /** Table to use in place of an empty one. */
   readonly table?: RunTable;
+  /** Detector to use in place of a new one. */
+  readonly pauses?: PauseDetector;
   readonly log: EventLog;
   readonly metrics: Metrics;
   getRulesRevision(): number;
