Hold customers to their limits over several entries

Rules of kind limit were accepted and not enforced. Each entry is entitled to an equal part, and borrows what peers report unused, divided by all who may borrow; a silent peer lends nothing and counts as a borrower, so silence leads to the static split.

Plain calls carry no tokens, so the admission queue counted them as nothing: they count 1 now, tested.

--- a/packages/core/src/runs/admission_queue.test.ts
+++ b/packages/core/src/runs/admission_queue.test.ts
@@ -52,17 +52,22 @@
   expect(drainQueue(queue)).toMatchSnapshot();
 });
 
-test('refuses early what cannot end in time, by measured speed', () => {
+test.each([10, 0])('refuses early by measured speed, %i tokens', tokens => {
   const clock = new ManualClock();
   const queue = AdmissionQueue.create({slots: 1, maxQueued: 5}, clock);
   for (let i = 0; i < 8; i++) {
-    queue.offerWork(createWork(`warm${i}`));
+    queue.offerWork(createWork(`warm${i}`, {expectedTokens: tokens}));
     queue.takeNext();
     clock.nowMs += 100;
     queue.releaseSlot(`warm${i}`);
   }
   const offer = (id: string, inMs: number) =>
-    queue.offerWork(createWork(id, {deadlineTick: clock.nowMs + inMs}));
+    queue.offerWork(
+      createWork(id, {
+        deadlineTick: clock.nowMs + inMs,
+        expectedTokens: tokens,
+      }),
+    );
   const answers = [
     offer('alone', 150),
     offer('behind-one', 150),
--- a/packages/core/src/runs/admission_queue.ts
+++ b/packages/core/src/runs/admission_queue.ts
@@ -4,7 +4,7 @@
  */
 import type {ErrorKind} from '../errors/error_kinds';
 import type {Clock} from '../shared/clock';
-import {FairQueue, QueuedWork} from './fair_queue';
+import {FairQueue, QueuedWork, countCost} from './fair_queue';
 
 const SMOOTHING = 0.1;
 /** Runs whose time must be known before work is refused by estimate. */
@@ -64,7 +64,7 @@
   }
 
   private canRunAt(work: QueuedWork, tick: number): boolean {
-    const runMs = work.expectedTokens * this.getTokenMs();
+    const runMs = countCost(work) * this.getTokenMs();
     return tick + runMs <= work.deadlineTick;
   }
 
@@ -102,7 +102,7 @@
     if (ended === undefined) return;
     this.running.delete(requestId);
     const runMs = this.clock.readMonotonicMs() - ended.startedTick;
-    this.observeRun(runMs / Math.max(1, ended.work.expectedTokens));
+    this.observeRun(runMs / countCost(ended.work));
   }
 
   private observeRun(tokenMs: number): void {
--- a/packages/core/src/runs/fair_queue.ts
+++ b/packages/core/src/runs/fair_queue.ts
@@ -23,6 +23,11 @@
 
 const DEFAULT_SHARE = 1;
 
+/** Returns what work counts for; a plain call, without tokens, counts 1. */
+export function countCost(work: QueuedWork): number {
+  return Math.max(1, work.expectedTokens);
+}
+
 /** Waiting work of one endpoint. */
 export class FairQueue {
   private readonly lines = new Map<string, CustomerLine>();
@@ -81,7 +86,7 @@
   private chargeLine(line: CustomerLine, work: QueuedWork): void {
     const share = this.shares.get(work.customer) ?? DEFAULT_SHARE;
     this.virtualNow = Math.max(this.virtualNow, line.virtualTokens);
-    line.virtualTokens += work.expectedTokens / share;
+    line.virtualTokens += countCost(work) / share;
   }
 
   /** Returns the tokens that are served before new work of a customer. */
@@ -95,7 +100,7 @@
       total += sumTokens(ahead);
     }
     const own = sumTokens(this.lines.get(work.customer)?.waiting ?? []);
-    const fairBound = (own + work.expectedTokens) * this.countOpenLines(work);
+    const fairBound = (own + countCost(work)) * this.countOpenLines(work);
     return Math.min(total, fairBound);
   }
 
@@ -141,5 +146,5 @@
 }
 
 function sumTokens(works: readonly QueuedWork[]): number {
-  return works.reduce((sum, work) => sum + work.expectedTokens, 0);
+  return works.reduce((sum, work) => sum + countCost(work), 0);
 }
--- a/packages/server/src/entry/entry_callers.ts
+++ b/packages/server/src/entry/entry_callers.ts
@@ -6,6 +6,9 @@
   DispatchHandle,
 } from '@sassafrasspan/callers';
 import {
+  Clock,
+  CustomerDemand,
+  CustomerLimiter,
   RuleBook,
   RulesHolder,
   ServiceError,
@@ -25,6 +28,10 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly defaultBudgetMs: number;
+  readonly clock: Clock;
+  readonly limiter: CustomerLimiter;
+  /** Returns the demand at each other entry; undefined of a silent one. */
+  listPeerDemand(): (readonly CustomerDemand[] | undefined)[];
 }
 
 /** Checks callers' requests and dispatches them. */
@@ -60,7 +67,20 @@
       sink.fail(checked.error);
       return {cancel: () => undefined};
     }
-    return this.options.dispatcher.dispatch(checked.value, sink);
+    const {customer} = request;
+    const release = createOnce(() =>
+      this.options.limiter.releaseCall(customer),
+    );
+    const handle = this.options.dispatcher.dispatch(
+      checked.value,
+      notifyEnd(sink, release),
+    );
+    return {
+      cancel: () => {
+        release();
+        handle.cancel();
+      },
+    };
   }
 
   private checkRequest(
@@ -80,7 +100,23 @@
       const detail = `${request.service} does not take such calls`;
       return err(createError('bad-request', detail));
     }
-    return ok(this.createDispatch(request, book));
+    const dispatch = this.createDispatch(request, book);
+    return this.checkLimits(dispatch, book).map(() => dispatch);
+  }
+
+  private checkLimits(
+    request: DispatchRequest,
+    book: RuleBook,
+  ): Result<void, ServiceError> {
+    const {customer, service, expectedTokens} = request;
+    const call = {
+      customer,
+      expectedTokens,
+      rules: book.listLimits(customer, service),
+      peers: this.options.listPeerDemand(),
+    };
+    const nowMs = this.options.clock.readMonotonicMs();
+    return this.options.limiter.admitCall(call, nowMs);
   }
 
   private createDispatch(
@@ -107,6 +143,33 @@
   }
 }
 
+/** Wraps an action so that only its first call counts. */
+function createOnce(action: () => void): () => void {
+  let isDone = false;
+  return () => {
+    if (isDone) return;
+    isDone = true;
+    action();
+  };
+}
+
+/** Passes an answer on and tells when it has ended. */
+function notifyEnd(sink: AnswerSink, handleEnd: () => void): AnswerSink {
+  return {
+    setHead: head => sink.setHead(head),
+    appendChunk: chunk => sink.appendChunk(chunk),
+    reset: () => sink.reset(),
+    finish: end => {
+      handleEnd();
+      sink.finish(end);
+    },
+    fail: error => {
+      handleEnd();
+      sink.fail(error);
+    },
+  };
+}
+
 function isIdempotent(request: CallerRequest, book: RuleBook): boolean {
   if (request.isMarkedNonIdempotent) return false;
   const {work, service} = request;
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -3,6 +3,7 @@
 import {createCallerRoutes} from '@sassafrasspan/callers';
 import {
   BurnBook,
+  CustomerLimiter,
   FleetView,
   Quarantine,
   RulesHolder,
@@ -27,6 +28,7 @@
 import {createOperatorsRoutes} from '../shared/operators_routes';
 import {RulesFeed, createRulesReply} from '../shared/rules_feed';
 import type {EntrySettings} from '../shared/settings_schemas';
+import {encodeDemand, listPeerDemand} from './demand_reports';
 import {Dispatcher} from './dispatcher';
 import {EntryCallers} from './entry_callers';
 import {MeasuredBackends} from './measured_backends';
@@ -53,6 +55,7 @@
   private readonly metrics = Metrics.create();
   private readonly rules = RulesHolder.create();
   private readonly quarantine = Quarantine.create();
+  private readonly limiter = CustomerLimiter.create();
   private readonly fleet = FleetView.create();
   private readonly burn = BurnBook.create(() => this.rules.getBook());
   private readonly latencies = LatencyHistograms.create();
@@ -113,6 +116,9 @@
       log: this.log,
       metrics: this.metrics,
       ...settings.limits,
+      clock: SYSTEM_CLOCK,
+      limiter: this.limiter,
+      listPeerDemand: () => listPeerDemand(this.directory.listEntries()),
     });
     this.peerServer = NodeServer.createEntry({
       watch: (request, writer) => {
@@ -272,7 +278,9 @@
       rulesRevision: this.rules.getRevisionNumber(),
       ready: this.isReady(),
       leaving: this.isLeaving,
-      demand: [],
+      demand: encodeDemand(
+        this.limiter.listDemand(SYSTEM_CLOCK.readMonotonicMs()),
+      ),
       digests: [],
       quarantined: this.quarantine.listQuarantined(),
       versionHeads: [],
