--- a/packages/core/src/rules/rule_book.ts
+++ b/packages/core/src/rules/rule_book.ts
@@ -92,6 +92,14 @@
     return (rule?.percent ?? 0) / 100;
   }
 
+  /** Returns the shares of a service by customer, from 0 to 1. */
+  listShares(service: string): ReadonlyMap<string, number> {
+    const rules = this.listRules('share').filter(
+      rule => rule.service === service,
+    );
+    return new Map(rules.map(rule => [rule.customer, rule.percent / 100]));
+  }
+
   /** Returns where a customer's work on a service may run. */
   getPlacement(customer: string, service: string): DomainPlacement {
     const rule = findMostSpecific(this.listRules('domains'), customer, service);
--- a/packages/core/src/runs/admission_queue.ts
+++ b/packages/core/src/runs/admission_queue.ts
@@ -41,7 +41,7 @@
     return new AdmissionQueue(bounds, clock);
   }
 
-  /** Sets the customers' shares of the endpoint. */
+  /** Sets the customers' shares of the endpoint, from 0 to 1. */
   setShares(shares: ReadonlyMap<string, number>): void {
     this.waiting.setShares(shares);
   }
--- a/packages/core/src/runs/fair_queue.ts
+++ b/packages/core/src/runs/fair_queue.ts
@@ -21,7 +21,8 @@
   virtualTokens: number;
 }
 
-const DEFAULT_SHARE = 1;
+/** Least weight of customers without a share beside those that have one. */
+const MIN_OTHER_SHARE = 0.05;
 
 /** Returns what work counts for; a plain call, without tokens, counts 1. */
 export function countCost(work: QueuedWork): number {
@@ -32,6 +33,7 @@
 export class FairQueue {
   private readonly lines = new Map<string, CustomerLine>();
   private shares: ReadonlyMap<string, number> = new Map();
+  private otherShare = 1;
   private virtualNow = 0;
 
   private constructor() {}
@@ -41,9 +43,11 @@
     return new FairQueue();
   }
 
-  /** Sets the shares of customers; others weigh 1. */
+  /** Sets shares from 0 to 1; each other customer weighs what is left. */
   setShares(shares: ReadonlyMap<string, number>): void {
+    const sum = [...shares.values()].reduce((total, part) => total + part, 0);
     this.shares = shares;
+    this.otherShare = Math.max(MIN_OTHER_SHARE, 1 - sum);
   }
 
   /** Adds work behind that of the same customer, priority and deadline. */
@@ -84,7 +88,7 @@
   }
 
   private chargeLine(line: CustomerLine, work: QueuedWork): void {
-    const share = this.shares.get(work.customer) ?? DEFAULT_SHARE;
+    const share = this.shares.get(work.customer) ?? this.otherShare;
     this.virtualNow = Math.max(this.virtualNow, line.virtualTokens);
     line.virtualTokens += countCost(work) / share;
   }
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -89,6 +89,7 @@
       pollIntervalMs: RULES_POLL_INTERVAL_MS,
     });
     this.rules.addListener(() => this.heartbeats.sendNow());
+    this.rules.addListener(() => this.applyShares());
     this.units = new Map(
       settings.endpoints.map(item => [
         item.name,
@@ -201,6 +202,15 @@
     });
   }
 
+  /** Hands the customers' shares of each pool to its queues. */
+  private applyShares(): void {
+    const book = this.rules.getBook();
+    if (book === undefined) return;
+    for (const {queue, settings} of this.units.values()) {
+      queue.setShares(book.listShares(settings.service));
+    }
+  }
+
   private createVersionWatches(): ObjectWatch[] {
     const services = new Set(
       this.listEngines().map(unit => unit.settings.service),
