--- a/packages/core/src/runs/fair_queue.ts
+++ b/packages/core/src/runs/fair_queue.ts
@@ -21,12 +21,19 @@
   virtualTokens: number;
 }
 
-const DEFAULT_SHARE = 1;
+/** Least weight of customers without a share beside those that have one. */
+const MIN_OTHER_SHARE = 0.05;
+
+/** Returns what work counts for; a plain call, without tokens, counts 1. */
+export function countCost(work: QueuedWork): number {
+  return Math.max(1, work.expectedTokens);
+}
 
 /** Waiting work of one endpoint. */
 export class FairQueue {
   private readonly lines = new Map<string, CustomerLine>();
   private shares: ReadonlyMap<string, number> = new Map();
+  private otherShare = 1;
   private virtualNow = 0;
 
   private constructor() {}
@@ -36,9 +43,11 @@
     return new FairQueue();
   }
 
-  /** Sets the shares of customers; others weigh 1. */
+  /** Sets shares from 0 to 1; each other customer weighs what is left. */
   setShares(shares: ReadonlyMap<string, number>): void {
+    const sum = [...shares.values()].reduce((total, part) => total + part, 0);
     this.shares = shares;
+    this.otherShare = Math.max(MIN_OTHER_SHARE, 1 - sum);
   }
 
   /** Adds work behind that of the same customer, priority and deadline. */
@@ -79,9 +88,9 @@
   }
 
   private chargeLine(line: CustomerLine, work: QueuedWork): void {
-    const share = this.shares.get(work.customer) ?? DEFAULT_SHARE;
+    const share = this.shares.get(work.customer) ?? this.otherShare;
     this.virtualNow = Math.max(this.virtualNow, line.virtualTokens);
-    line.virtualTokens += work.expectedTokens / share;
+    line.virtualTokens += countCost(work) / share;
   }
 
   /** Returns the tokens that are served before new work of a customer. */
@@ -95,7 +104,7 @@
       total += sumTokens(ahead);
     }
     const own = sumTokens(this.lines.get(work.customer)?.waiting ?? []);
-    const fairBound = (own + work.expectedTokens) * this.countOpenLines(work);
+    const fairBound = (own + countCost(work)) * this.countOpenLines(work);
     return Math.min(total, fairBound);
   }
 
@@ -141,5 +150,5 @@
 }
 
 function sumTokens(works: readonly QueuedWork[]): number {
-  return works.reduce((sum, work) => sum + work.expectedTokens, 0);
+  return works.reduce((sum, work) => sum + countCost(work), 0);
 }
--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -86,7 +86,9 @@
     if (admission.type === 'forgotten') {
       return sendFailure(request, admission.error, writer);
     }
-    this.streamAnswer(admission.record, request.attempt, 0, writer);
+    const {record} = admission;
+    const {attempt} = request;
+    streamAnswer({...this.options, record, attempt, fromOffset: 0, writer});
     this.startWaiting(request.endpoint);
   }
 
@@ -300,21 +302,14 @@
     const attempt = request.attempt ?? record?.dispatch.attempt ?? 0;
     if (record !== undefined) {
       record.entries.add(request.entry);
-      return this.streamAnswer(record, attempt, request.fromOffset, writer);
+      const {fromOffset} = request;
+      const stream = {record, attempt, fromOffset, writer};
+      return streamAnswer({...this.options, ...stream});
     }
     const error = createError('agent-lost', 'the agent holds no such run');
     sendFailure({requestId: request.requestId, attempt}, error, writer);
   }
 
-  private streamAnswer(
-    record: RunRecord,
-    attempt: number,
-    fromOffset: number,
-    writer: MessageWriter<RunFrame>,
-  ): void {
-    streamAnswer({...this.options, record, attempt, fromOffset, writer});
-  }
-
   /** Makes sure that a dispatch does not start, or tells its state. */
   revokeRun(revocation: Revocation): RunStatus {
     const tick = this.options.clock.readMonotonicMs();
