--- a/packages/server/src/agent/agent_runs.ts
+++ b/packages/server/src/agent/agent_runs.ts
@@ -108,7 +108,7 @@
       const detail = `no endpoint ${request.endpoint} here`;
       return err(createError('no-endpoint', detail));
     }
-    this.adoptSuspicion(request);
+    this.crashes.adoptCrash(request.fingerprint, request.crashId);
     const work = decodeWork(request.work);
     if (work === undefined) return err(createError('bad-request', 'no work'));
     const admitted = this.table.admitDispatch(request, {
@@ -124,12 +124,6 @@
     });
   }
 
-  private adoptSuspicion(request: RunRequest): void {
-    const {fingerprint, crashId} = request;
-    if (crashId === undefined) return;
-    this.options.quarantine.implicate([fingerprint], crashId);
-  }
-
   private takeNew(
     request: RunRequest,
     admission: Extract<Admission, {type: 'new'}>,
--- a/packages/server/src/agent/crash_watch.ts
+++ b/packages/server/src/agent/crash_watch.ts
@@ -54,6 +54,12 @@
     }
   }
 
+  /** Takes over what an entry knows of a request that it dispatches. */
+  adoptCrash(fingerprint: string, crashId: string | undefined): void {
+    if (crashId === undefined) return;
+    this.options.quarantine.implicate([fingerprint], crashId);
+  }
+
   /** Notes that a run has ended. */
   removeRun(key: string): void {
     this.crashOfRun.delete(key);
