Do not copy answers that only wait for their score

Cause: a whole answer whose score was slow looked like a straggler, so that a busy machine got second copies of finished work; the process test of delivery, which waited for exactly one whole run a slot, timed out at a load of 26.

--- a/packages/core/src/rollout/slot_copies.ts
+++ b/packages/core/src/rollout/slot_copies.ts
@@ -8,6 +8,8 @@
   readonly startedAtMs: number;
   /** Tokens received so far. */
   tokens: number;
+  /** Whether the answer is whole and only its score is missing. */
+  isGenerated: boolean;
 }
 
 /** Tracks the copies of one step. */
@@ -27,7 +29,13 @@
   startCopy(slot: number, startedAtMs: number): number {
     const copyId = this.nextId;
     this.nextId += 1;
-    this.copies.set(copyId, {copyId, slot, startedAtMs, tokens: 0});
+    this.copies.set(copyId, {
+      copyId,
+      slot,
+      startedAtMs,
+      tokens: 0,
+      isGenerated: false,
+    });
     this.perSlot.set(slot, (this.perSlot.get(slot) ?? 0) + 1);
     return copyId;
   }
@@ -38,6 +46,12 @@
     if (copy !== undefined) copy.tokens += tokens;
   }
 
+  /** Notes that a copy only waits for its score. */
+  markGenerated(copyId: number): void {
+    const copy = this.copies.get(copyId);
+    if (copy !== undefined) copy.isGenerated = true;
+  }
+
   /** Notes the end of a copy; undefined when it has ended before. */
   endCopy(copyId: number): SlotCopy | undefined {
     const copy = this.copies.get(copyId);
@@ -64,12 +78,13 @@
     return [...this.copies.values()];
   }
 
-  /** Describes the copies for a policy. */
+  /** Describes the copies that engines work on, for a policy. */
   describe(
     groupSize: number,
     predictTokens: (group: number) => number,
   ): RunningCopy[] {
-    return this.list().map(copy => {
+    const generating = this.list().filter(copy => !copy.isGenerated);
+    return generating.map(copy => {
       const group = Math.floor(copy.slot / groupSize);
       return {
         slot: copy.slot,
--- a/packages/core/src/rollout/step_state.ts
+++ b/packages/core/src/rollout/step_state.ts
@@ -179,6 +179,11 @@
     this.copies.addTokens(copyId, tokens);
   }
 
+  /** Notes that a copy is whole and only waits for its score. */
+  markGenerated(copyId: number): void {
+    this.copies.markGenerated(copyId);
+  }
+
   /** Returns the number of copies that are being generated. */
   countInFlight(): number {
     return this.copies.count();
--- a/packages/server/src/entry/step_runner.ts
+++ b/packages/server/src/entry/step_runner.ts
@@ -195,6 +195,7 @@
     answer: Result<CollectedAnswer, ServiceError>,
     releaseAnswer: () => void,
   ): Promise<void> {
+    if (answer.isOk()) this.options.state.markGenerated(work.copyId);
     const sample = answer.isOk()
       ? await this.scoreAnswer(work, answer.value)
       : err(answer.error);
