--- /dev/null
+++ b/packages/harness/src/idempotency_keys.test.ts
@@ -0,0 +1,177 @@
+/**
+ * Calls that may run once, over separate processes: the service breaks off,
+ * the home agent is killed, the call is sent again through another entry, the
+ * platform is down. The service's own counts are the truth.
+ */
+import {CallerAnswer, callEntry} from './clients';
+import {formatDemoRules} from './demo_plan';
+import {waitUntil} from './node_status';
+import {EndpointPlan, TestSystem} from './system';
+
+/** Clock skew that homes allow for, with a margin. */
+const KEY_AGE_MS = 6_000;
+const HEX_RADIX = 16;
+const ENDPOINTS: EndpointPlan[] = ['attica-a', 'attica-b'].map(
+  (failureDomain, index) => ({
+    name: `app-${index + 1}`,
+    kind: 'plain',
+    service: 'booking-app',
+    failureDomain,
+  }),
+);
+
+let system: TestSystem;
+let urls: string[];
+let keys = 0;
+
+beforeAll(async () => {
+  system = await TestSystem.create({
+    entries: [
+      {name: 'entry-a', failureDomain: 'attica-a'},
+      {name: 'entry-b', failureDomain: 'attica-b'},
+    ],
+    endpoints: ENDPOINTS,
+    rules: formatDemoRules(300),
+  });
+  urls = [...system.entries.values()].map(entry => entry.callersUrl);
+  await new Promise(resolve => setTimeout(resolve, KEY_AGE_MS));
+});
+
+afterAll(async () => {
+  await system.close();
+});
+
+/** Writes a UUIDv7 made now. */
+function createKey(): string {
+  keys += 1;
+  const time = Date.now().toString(HEX_RADIX).padStart(12, '0');
+  const tail = String(keys).padStart(12, '0');
+  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${tail}`;
+}
+
+function sendShift(
+  url: string,
+  shift: string,
+  key: string,
+  body = 'Maria',
+): Promise<CallerAnswer> {
+  return callEntry(url, 'kyklos', `/services/booking-app/shifts/${shift}`, {
+    method: 'POST',
+    headers: key === '' ? {} : {'idempotency-key': key},
+    body,
+  });
+}
+
+async function countExecutions(shift: string): Promise<number> {
+  let total = 0;
+  for (const endpoint of system.endpoints.values()) {
+    const reply = await fetch(`${endpoint.url}/admin/truth`);
+    const truth = (await reply.json()) as {executions: Record<string, number>};
+    total += truth.executions[`/shifts/${shift}`] ?? 0;
+  }
+  return total;
+}
+
+async function setFaults(faults: Record<string, unknown>): Promise<void> {
+  for (const endpoint of system.endpoints.values()) {
+    await system.setFaults(endpoint, faults);
+  }
+}
+
+function selectStatement(answer: CallerAnswer) {
+  const {status, outcome, kind} = answer;
+  return {status, outcome, kind};
+}
+
+async function waitForStart(shift: string): Promise<void> {
+  await waitUntil(`shift ${shift} runs`, async () => {
+    return (await countExecutions(shift)) === 1;
+  });
+}
+
+test('a resend through another entry gets the first answer', async () => {
+  const key = createKey();
+  const first = await sendShift(urls[0], 'resent', key);
+  const second = await sendShift(urls[1], 'resent', key);
+  expect(first.status).toBe(200);
+  expect(second.text).toBe(first.text);
+  expect(await countExecutions('resent')).toBe(1);
+});
+
+test('another body under the same key is a conflict', async () => {
+  const key = createKey();
+  await sendShift(urls[0], 'bound', key);
+  const other = await sendShift(urls[1], 'bound', key, 'Eleni');
+  expect(selectStatement(other)).toMatchSnapshot();
+  expect(await countExecutions('bound')).toBe(1);
+});
+
+test('a resend of a running call is told so', async () => {
+  await setFaults({delayMs: 1_500});
+  const key = createKey();
+  const first = sendShift(urls[0], 'running', key);
+  await waitForStart('running');
+  const second = await sendShift(urls[1], 'running', key);
+  await setFaults({delayMs: 0});
+  expect(selectStatement(second)).toMatchSnapshot();
+  expect((await first).status).toBe(200);
+  expect(await countExecutions('running')).toBe(1);
+});
+
+test('the counts report a caller that resends without a key', async () => {
+  await sendShift(urls[0], 'naive', '');
+  await sendShift(urls[1], 'naive', '');
+  expect(await countExecutions('naive')).toBe(2);
+});
+
+test('a call that the service breaks off stays unknown', async () => {
+  await setFaults({breakNext: true});
+  const key = createKey();
+  const first = await sendShift(urls[0], 'broken', key);
+  await setFaults({breakNext: false});
+  const second = await sendShift(urls[1], 'broken', key);
+  expect(selectStatement(first)).toMatchSnapshot();
+  expect(second.outcome).toBe('unknown');
+  expect(await countExecutions('broken')).toBe(1);
+});
+
+test('keys are answered while the platform is down', async () => {
+  const key = createKey();
+  system.platform.process.sendSignal('SIGSTOP');
+  let first = await sendShift(urls[0], 'outage', key);
+  await waitUntil('the home takes the call', async () => {
+    first = await sendShift(urls[0], 'outage', key);
+    return first.status === 200;
+  });
+  const second = await sendShift(urls[1], 'outage', key);
+  system.platform.process.sendSignal('SIGCONT');
+  expect(first.status).toBe(200);
+  expect(second.text).toBe(first.text);
+  expect(await countExecutions('outage')).toBe(1);
+});
+
+test('a home that is killed and replaced runs no older key', async () => {
+  await setFaults({delayMs: 1_500});
+  const key = createKey();
+  const first = sendShift(urls[0], 'killed', key);
+  await waitForStart('killed');
+  const plan = await findRunningPlan('killed');
+  await system.getAgent(`agent-${plan.name}`).process.kill();
+  const stated = await first;
+  await system.startAgent(plan);
+  await setFaults({delayMs: 0});
+  let second = await sendShift(urls[1], 'killed', key);
+  await waitUntil('the new home answers', async () => {
+    second = await sendShift(urls[1], 'killed', key);
+    return second.outcome === 'unknown';
+  });
+  expect(selectStatement(stated)).toMatchSnapshot();
+  expect(await countExecutions('killed')).toBe(1);
+});
+
+async function findRunningPlan(shift: string): Promise<EndpointPlan> {
+  const url = system.getEndpoint('app-1').url;
+  const reply = await fetch(`${url}/admin/truth`);
+  const truth = (await reply.json()) as {executions: Record<string, number>};
+  return ENDPOINTS[truth.executions[`/shifts/${shift}`] === 1 ? 0 : 1];
+}
