--- a/packages/server/src/agent/leaving.fuzz.test.ts
+++ b/packages/server/src/agent/leaving.fuzz.test.ts
@@ -84,6 +84,7 @@
       log: LOG,
       metrics: Metrics.create(),
       getRulesRevision: () => 1,
+      getHomes: () => [AGENT],
     });
     this.repeat(SWEEP_MS, () => this.sweep());
     this.repeat(HEARTBEAT_MS, () => this.sendHeartbeat());
