Forget the latency of an endpoint that nothing renews

Cause: an endpoint that was slow once got no calls any more, since only calls renewed its latency; found by the control of the leaving promise, which saw no late calls. Ruled out: ejection (no failures) and the warm-up (ends in 10 s).

--- a/packages/core/src/routing/choose_endpoint.test.ts
+++ b/packages/core/src/routing/choose_endpoint.test.ts
@@ -121,3 +121,18 @@
   );
   expect(warmth).toMatchSnapshot();
 });
+
+test('forgets that an endpoint was slow when nothing renews it', () => {
+  const tracker = EndpointTracker.create();
+  const views = ['a1', 'a2', 'a3'].map(name => createView(name, 'a'));
+  tracker.createCandidates(views, 0);
+  for (const [index, {name}] of views.entries()) {
+    for (let i = 0; i < 5; i++) {
+      tracker.recordEnd(name, 'whole', index === 0 ? 400 : 100, 1_000);
+    }
+  }
+  const slowness = [1_500, 9_000].map(
+    nowMs => tracker.createCandidates(views, nowMs)[0].slowness,
+  );
+  expect(slowness).toMatchSnapshot();
+});
--- a/packages/core/src/routing/endpoint_tracker.ts
+++ b/packages/core/src/routing/endpoint_tracker.ts
@@ -6,6 +6,9 @@
 
 const LATENCY_SMOOTHING = 0.1;
 const MIN_LATENCIES = 5;
+/** Latency not renewed for this long is forgotten, so that a slow endpoint is
+ * tried again. */
+const LATENCY_LIFE_MS = 3_000;
 /** Relative slowness below this is taken for noise. */
 const SLOWNESS_THRESHOLD = 1.5;
 const EJECTION_FAILURES = 3;
@@ -41,6 +44,7 @@
   /** Smoothed time an attempt, in ms for an expected token. */
   latencyMs: number;
   latencies: number;
+  latencyAtMs: number;
   tokensPerSecond: number;
   failures: number;
   ejections: number;
@@ -69,7 +73,7 @@
   ): void {
     const memory = this.memories.get(endpoint);
     if (memory === undefined) return;
-    if (verdict === 'whole') recordLatency(memory, latencyMs);
+    if (verdict === 'whole') recordLatency(memory, latencyMs, nowMs);
     if (verdict === 'failed') recordFailure(memory, nowMs);
   }
 
@@ -113,6 +117,7 @@
       this.memories.set(endpoint.name, memory);
       return memory;
     }
+    if (nowMs - known.latencyAtMs > LATENCY_LIFE_MS) known.latencies = 0;
     if (known.tick !== endpoint.tick) {
       known.tick = endpoint.tick;
       known.outstandingAtReport = endpoint.outstanding;
@@ -134,6 +139,7 @@
     outstandingAtReport: endpoint.outstanding,
     latencyMs: 0,
     latencies: 0,
+    latencyAtMs: 0,
     tokensPerSecond: endpoint.tokensPerSecond,
     failures: 0,
     ejections: 0,
@@ -149,7 +155,12 @@
   return Math.max(reported + change, endpoint.outstanding);
 }
 
-function recordLatency(memory: EndpointMemory, latencyMs: number): void {
+function recordLatency(
+  memory: EndpointMemory,
+  latencyMs: number,
+  nowMs: number,
+): void {
+  memory.latencyAtMs = nowMs;
   memory.failures = 0;
   memory.ejections = 0;
   memory.latencies += 1;
