Keep a step visited in the control of the delivery test

Cause: just after the kill, entries still count on the dead home; the entry that opened the step works on it for 5 s without a pull, too short on a busy machine, and the wait for all samples timed out.

--- a/packages/harness/src/step_delivery.test.ts
+++ b/packages/harness/src/step_delivery.test.ts
@@ -87,6 +87,10 @@
   const [home, ...others] = rankEntries(step, alive);
   await trainer.putStep(others[0].callersUrl, step, STEP);
   await waitUntil('all samples are generated', async () => {
+    // Entries that still count on the dead home work on while they are pulled.
+    if (options.keepsCursor === false) {
+      await trainer.pullOnce(others[0].callersUrl, step, '', BATCH);
+    }
     return countSlots(await listWholeRuns(step)) === TOTAL;
   });
   const pull = async (entry: StartedNode) => {
