--- a/packages/harness/src/clients.ts
+++ b/packages/harness/src/clients.ts
@@ -2,6 +2,7 @@
 import type {PullReply, Sample, StepDescription} from '@sassafrasspan/core';
 import {createApiKey} from './system';
 
+const HEX_RADIX = 16;
 const PULL_WAIT_MS = 2_000;
 const RETRY_MS = 100;
 const DEFAULT_MAX_SAMPLES = 256;
@@ -45,6 +46,16 @@
   };
 }
 
+let keys = 0;
+
+/** Writes a UUIDv7 made now. */
+export function createIdempotencyKey(): string {
+  keys += 1;
+  const time = Date.now().toString(HEX_RADIX).padStart(12, '0');
+  const tail = String(keys).padStart(12, '0');
+  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${tail}`;
+}
+
 /** Asks for a completion. */
 export function callCompletion(
   entryUrl: string,
--- a/packages/harness/src/demo.ts
+++ b/packages/harness/src/demo.ts
@@ -9,6 +9,7 @@
   TestTrainer,
   callCompletion,
   callEntry,
+  createIdempotencyKey,
 } from './clients';
 import {DEMO_PLAN, DEMO_STEP, DEMO_TRAINER, formatDemoRules} from './demo_plan';
 import {countExecutions, readEngineTruth} from './demo_truth';
@@ -18,6 +19,7 @@
 
 const CUSTOMER = 'kyklos';
 const CRASHED_ENGINE = 'lm-2';
+const KEY_RETRY_MS = 250;
 const BOOKING_PATH = '/services/booking-app/shifts/17';
 
 /** What the clients counted. */
@@ -84,6 +86,32 @@
   if (ran !== 1) tally.faults.push(`the booking ran ${ran} times`);
 }
 
+/** Sends a booking again with its key, through the other entry. */
+async function repeatBooking(
+  system: TestSystem,
+  tally: DemoTally,
+): Promise<void> {
+  const [first, second] = listEntryUrls(system);
+  const send = (url: string, key: string) =>
+    callEntry(url, CUSTOMER, BOOKING_PATH, {
+      method: 'POST',
+      headers: {'x-call': 'keyed booking', 'idempotency-key': key},
+      body: '{"waiter":"Nikos"}',
+    });
+  let key = createIdempotencyKey();
+  // A home refuses a key that may be older than its own memory.
+  while ((await send(first, key)).kind === 'key-forgotten') {
+    await new Promise(resolve => setTimeout(resolve, KEY_RETRY_MS));
+    key = createIdempotencyKey();
+  }
+  const again = await send(second, key);
+  checkAnswer(tally, 'a booking sent twice with one key', again, 'Nikos');
+  const names = ['app-1', 'app-2'];
+  const ran = await countExecutions(system, names, 'keyed booking');
+  printLine(`  the booking app ran it ${ran} time(s)`);
+  if (ran !== 1) tally.faults.push(`the keyed booking ran ${ran} times`);
+}
+
 async function refuseStranger(
   system: TestSystem,
   tally: DemoTally,
@@ -204,6 +232,8 @@
   await refuseStranger(system, tally);
   printLine('A rollout step of a trainer, with an engine crash and a swap:');
   const step = await runStep(system, tally);
+  printLine('A resend:');
+  await repeatBooking(system, tally);
   printLine('The promises, as `sassafrasspan report burn` shows them:');
   await showReport(system);
   printLine('A change of the rules file:');
--- a/packages/harness/src/idempotency_keys.test.ts
+++ b/packages/harness/src/idempotency_keys.test.ts
@@ -3,14 +3,13 @@
  * the home agent is killed, the call is sent again through another entry, the
  * platform is down. The service's own counts are the truth.
  */
-import {CallerAnswer, callEntry} from './clients';
+import {CallerAnswer, callEntry, createIdempotencyKey} from './clients';
 import {formatDemoRules} from './demo_plan';
 import {waitUntil} from './node_status';
 import {EndpointPlan, TestSystem} from './system';
 
 /** Clock skew that homes allow for, with a margin. */
 const KEY_AGE_MS = 6_000;
-const HEX_RADIX = 16;
 const ENDPOINTS: EndpointPlan[] = ['attica-a', 'attica-b'].map(
   (failureDomain, index) => ({
     name: `app-${index + 1}`,
@@ -22,7 +21,6 @@
 
 let system: TestSystem;
 let urls: string[];
-let keys = 0;
 
 beforeAll(async () => {
   system = await TestSystem.create({
@@ -41,14 +39,6 @@
   await system.close();
 });
 
-/** Writes a UUIDv7 made now. */
-function createKey(): string {
-  keys += 1;
-  const time = Date.now().toString(HEX_RADIX).padStart(12, '0');
-  const tail = String(keys).padStart(12, '0');
-  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${tail}`;
-}
-
 function sendShift(
   url: string,
   shift: string,
@@ -90,7 +80,7 @@
 }
 
 test('a resend through another entry gets the first answer', async () => {
-  const key = createKey();
+  const key = createIdempotencyKey();
   const first = await sendShift(urls[0], 'resent', key);
   const second = await sendShift(urls[1], 'resent', key);
   expect(first.status).toBe(200);
@@ -99,7 +89,7 @@
 });
 
 test('another body under the same key is a conflict', async () => {
-  const key = createKey();
+  const key = createIdempotencyKey();
   await sendShift(urls[0], 'bound', key);
   const other = await sendShift(urls[1], 'bound', key, 'Eleni');
   expect(selectStatement(other)).toMatchSnapshot();
@@ -108,7 +98,7 @@
 
 test('a resend of a running call is told so', async () => {
   await setFaults({delayMs: 1_500});
-  const key = createKey();
+  const key = createIdempotencyKey();
   const first = sendShift(urls[0], 'running', key);
   await waitForStart('running');
   const second = await sendShift(urls[1], 'running', key);
@@ -126,7 +116,7 @@
 
 test('a call that the service breaks off stays unknown', async () => {
   await setFaults({breakNext: true});
-  const key = createKey();
+  const key = createIdempotencyKey();
   const first = await sendShift(urls[0], 'broken', key);
   await setFaults({breakNext: false});
   const second = await sendShift(urls[1], 'broken', key);
@@ -136,7 +126,7 @@
 });
 
 test('keys are answered while the platform is down', async () => {
-  const key = createKey();
+  const key = createIdempotencyKey();
   system.platform.process.sendSignal('SIGSTOP');
   let first = await sendShift(urls[0], 'outage', key);
   await waitUntil('the home takes the call', async () => {
@@ -152,7 +142,7 @@
 
 test('a home that is killed and replaced runs no older key', async () => {
   await setFaults({delayMs: 1_500});
-  const key = createKey();
+  const key = createIdempotencyKey();
   const first = sendShift(urls[0], 'killed', key);
   await waitForStart('killed');
   const plan = await findRunningPlan('killed');
--- a/packages/server/src/commands/run_node.ts
+++ b/packages/server/src/commands/run_node.ts
@@ -1,6 +1,7 @@
 /** Runs a node until it is told to stop. */
 import {
   SettingsFault,
+  createEventLog,
   describeError,
   findKeyLine,
   loadSettings,
@@ -12,7 +13,7 @@
   ENTRY_SETTINGS_SCHEMA,
   NodeSettings,
 } from '../shared/settings_schemas';
-import {EXIT_USAGE, printFaults} from './output';
+import {EXIT_FAILED, EXIT_USAGE, printFaults} from './output';
 
 const LISTEN_KEYS = ['peers', 'operators', 'callers', 'weights'] as const;
 
@@ -42,6 +43,7 @@
   settings: NodeSettings,
   node: NodeProcess,
 ): Promise<void> {
+  terminateOnFault(settings);
   const addresses = await startOrExit(file, settings, node);
   process.stdout.write(`${JSON.stringify(addresses)}\n`);
   const stopNode = () => {
@@ -51,6 +53,17 @@
   process.on('SIGINT', stopNode);
 }
 
+/** An error that no handler expected is logged and ends the process. */
+function terminateOnFault(settings: NodeSettings): void {
+  const {name, role} = settings;
+  const log = createEventLog({node: name, role, level: 'error'});
+  process.on('uncaughtException', error => {
+    const stack = error.stack ?? error.message;
+    log.writeEvent('process-fault', {stack});
+    process.exit(EXIT_FAILED);
+  });
+}
+
 /** Starts a node; a start that fails ends the process, all of it. */
 async function startOrExit(
   file: string,
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -2,7 +2,6 @@
  * Sends requests to agents: chooses an endpoint, follows the attempt, and
  * retries what may be repeated.
  */
-import {createHash} from 'node:crypto';
 import type {AnswerSink, DispatchHandle} from '@sassafrasspan/callers';
 import {
   AttemptVerdict,
@@ -30,8 +29,6 @@
 import type {NodeDirectory} from './node_directory';
 import {AttemptEnd, RunAttempt} from './run_attempt';
 
-const FINGERPRINT_DIGITS = 32;
-
 /** Failures after which the next attempt avoids the failure domain. */
 const CRASH_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
   'endpoint-failed',
@@ -353,13 +350,3 @@
 function isUnreached(ended: Extract<AttemptEnd, {type: 'failed'}>): boolean {
   return ended.error.kind === 'agent-lost' && ended.outcome === 'not-run';
 }
-
-/** Returns the fingerprint of a customer's work. */
-export function computeFingerprint(customer: string, work: Work): string {
-  const text =
-    work.type === 'completion'
-      ? work.bodyJson
-      : `${work.method} ${work.path} ${Buffer.from(work.body).toString('hex')}`;
-  const digest = createHash('sha256').update(text).digest('hex');
-  return `${customer}-${digest.slice(0, FINGERPRINT_DIGITS)}`;
-}
--- a/packages/server/src/entry/entry_callers.ts
+++ b/packages/server/src/entry/entry_callers.ts
@@ -17,7 +17,8 @@
 } from '@sassafrasspan/core';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {DispatchRequest, Dispatcher, computeFingerprint} from './dispatcher';
+import type {DispatchRequest, Dispatcher} from './dispatcher';
+import {computeFingerprint} from './fingerprint';
 
 const PREFIX_LENGTH = 256;
 
