Pause an agent's stream while its caller is behind

An entry wrote whatever arrived into the caller's response, so that a caller who did not read filled its memory. A paused stream does not count as silent; its deadline still ends it.

--- a/packages/callers/src/caller_backend.ts
+++ b/packages/callers/src/caller_backend.ts
@@ -25,8 +25,18 @@
   readonly budgetMs: number | undefined;
 }
 
+/** Tells how fast the receiver of an answer reads. */
+export interface Backpressure {
+  /** Tells whether the receiver is behind. */
+  isFull(): boolean;
+  /** Registers what runs once, when the receiver has caught up. */
+  addDrainListener(listener: () => void): void;
+}
+
 /** Takes the answer to a request. */
 export interface AnswerSink {
+  /** Absent when the sink takes everything at once. */
+  readonly backpressure?: Backpressure;
   setHead(head: AnswerHead): void;
   appendChunk(chunk: AnswerChunk): void;
   finish(end: AnswerEnd): void;
--- a/packages/callers/src/completion_answer.ts
+++ b/packages/callers/src/completion_answer.ts
@@ -8,6 +8,7 @@
 } from '@sassafrasspan/core';
 import {sendError, sendJson} from '@sassafrasspan/runtime';
 import type {AnswerSink} from './caller_backend';
+import {createBackpressure} from './response_backpressure';
 
 /** What every answer of a completion repeats. */
 export interface CompletionIdentity {
@@ -47,6 +48,7 @@
 ): AnswerSink {
   const decoder = new TextDecoder();
   return {
+    backpressure: createBackpressure(response),
     setHead: () => undefined,
     appendChunk: chunk => {
       startStream(response);
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -2,3 +2,4 @@
 export * from './caller_auth';
 export * from './caller_backend';
 export * from './caller_routes';
+export * from './observed_sink';
--- a/packages/callers/src/plain_answer.ts
+++ b/packages/callers/src/plain_answer.ts
@@ -3,10 +3,12 @@
 import type {AnswerHead} from '@sassafrasspan/core';
 import {sendError} from '@sassafrasspan/runtime';
 import type {AnswerSink} from './caller_backend';
+import {createBackpressure} from './response_backpressure';
 
 /** Sends status, headers and body as they arrive. */
 export function createPlainSink(response: ServerResponse): AnswerSink {
   return {
+    backpressure: createBackpressure(response),
     setHead: head => startAnswer(response, head),
     appendChunk: chunk => {
       response.write(chunk.data);
--- a/packages/nodes/src/agent_client.ts
+++ b/packages/nodes/src/agent_client.ts
@@ -45,8 +45,19 @@
 /** A stream that can be given up. */
 export interface StreamHandle {
   cancel(): void;
+  /** Takes no more messages for now; a paused stream is not silent. */
+  pause(): void;
+  /** Takes messages again. */
+  resume(): void;
 }
 
+/** Handle of a stream that is not open. */
+export const CLOSED_STREAM: StreamHandle = {
+  cancel: () => undefined,
+  pause: () => undefined,
+  resume: () => undefined,
+};
+
 /** An attempt as one entry follows it. */
 export interface RunOfEntry {
   readonly attempt: number;
@@ -113,6 +124,7 @@
       },
     });
     return {
+      ...handle,
       cancel: () => {
         handle.cancel();
         fresh.close();
@@ -259,7 +271,7 @@
   } catch (error) {
     // A client that has been closed throws instead of failing the stream.
     const timer = setImmediate(() => listener.handleLoss(describeError(error)));
-    return {cancel: () => clearImmediate(timer)};
+    return {...CLOSED_STREAM, cancel: () => clearImmediate(timer)};
   }
 }
 
@@ -276,13 +288,25 @@
     if (reason !== undefined) listener.handleLoss(reason);
   };
   const notifySilence = () => endStream(SILENCE_REASON);
-  const timer = setTimeout(notifySilence, SILENCE_TIMEOUT_MS);
+  let timer = setTimeout(notifySilence, SILENCE_TIMEOUT_MS);
   stream.on('data', (message: T) => {
     if (isOver) return;
-    timer.refresh();
+    if (!stream.isPaused()) timer.refresh();
     listener.receiveMessage(message);
   });
   stream.on('end', () => endStream('ended'));
   stream.on('error', (error: Error) => endStream(error.message));
-  return {cancel: () => endStream(undefined)};
+  return {
+    cancel: () => endStream(undefined),
+    pause: () => {
+      if (isOver) return;
+      stream.pause();
+      clearTimeout(timer);
+    },
+    resume: () => {
+      if (isOver || !stream.isPaused()) return;
+      timer = setTimeout(notifySilence, SILENCE_TIMEOUT_MS);
+      stream.resume();
+    },
+  };
 }
--- a/packages/server/src/entry/dispatcher.ts
+++ b/packages/server/src/entry/dispatcher.ts
@@ -252,6 +252,7 @@
       request: this.createRunRequest(state, target, number),
       keepsAnswer: state.request.keepAnswer !== undefined,
       sink: {
+        backpressure: state.sink.backpressure,
         setHead: head => {
           state.progress.recordBytes();
           state.sink.setHead(head);
--- a/packages/server/src/entry/node_directory.ts
+++ b/packages/server/src/entry/node_directory.ts
@@ -12,6 +12,7 @@
 import {
   AgentClient,
   AgentHeartbeat,
+  CLOSED_STREAM,
   EntryClient,
   EntryHeartbeat,
   StreamHandle,
@@ -153,7 +154,7 @@
 
   private createWatch() {
     const seenAtMs = this.options.clock.readMonotonicMs();
-    return {handle: {cancel: () => undefined}, failures: 0, seenAtMs};
+    return {handle: CLOSED_STREAM, failures: 0, seenAtMs};
   }
 
   /** Watches again after a growing, jittered delay. */
--- a/packages/server/src/entry/run_attempt.ts
+++ b/packages/server/src/entry/run_attempt.ts
@@ -3,6 +3,7 @@
  * it over a new connection when the old one goes silent, and find out what
  * became of the work when it cannot be resumed.
  */
+import type {Backpressure} from '@sassafrasspan/callers';
 import {
   AnswerAssembler,
   AnswerChunk,
@@ -44,6 +45,8 @@
 
 /** Takes the parts of an answer in order. */
 export interface AttemptSink {
+  /** Absent when the sink takes everything at once. */
+  readonly backpressure?: Backpressure;
   setHead(head: AnswerHead): void;
   appendChunk(chunk: AnswerChunk): void;
 }
@@ -233,10 +236,20 @@
     if (accepted.value !== undefined) {
       this.resumes = 0;
       this.options.sink.appendChunk(accepted.value);
+      this.pauseWhileFull();
     }
     return undefined;
   }
 
+  /** A caller that reads slowly holds up its agent, not this process. */
+  private pauseWhileFull(): void {
+    const {handle} = this;
+    const {backpressure} = this.options.sink;
+    if (handle === undefined || backpressure?.isFull() !== true) return;
+    handle.pause();
+    backpressure.addDrainListener(() => handle.resume());
+  }
+
   private applyEnd(end: AnswerEnd): StreamEnd {
     const accepted = this.assembler.acceptEnd(end);
     if (accepted.isErr()) return {type: 'lost', reason: accepted.error.detail};
--- a/packages/server/src/testing/world_peer.ts
+++ b/packages/server/src/testing/world_peer.ts
@@ -3,6 +3,7 @@
 import type {VirtualNetwork} from '@sassafrasspan/core/testing';
 import {
   AgentPeer,
+  CLOSED_STREAM,
   MessageWriter,
   RevokeReply,
   RunFrame,
@@ -134,7 +135,7 @@
     closers.push(() => writer.end());
     start(life.runs, writer);
   });
-  return {cancel: () => endStream(undefined)};
+  return {...CLOSED_STREAM, cancel: () => endStream(undefined)};
 }
 
 /** The entry's end of a stream. */
