--- a/bin/bundle.mjs
+++ b/bin/bundle.mjs
@@ -13,6 +13,7 @@
   standins: 'packages/standins/src/main.ts',
   demo: 'packages/harness/src/demo.ts',
   bench: 'packages/bench/src/main.ts',
+  bench_waiting: 'packages/bench/src/waiting/main.ts',
   bench_slopes: 'packages/bench/src/slopes/main.ts',
 };
 
--- /dev/null
+++ b/packages/bench/src/waiting/waiting_simulation.ts
@@ -0,0 +1,247 @@
+/**
+ * Two failure domains on a virtual clock: work arrives at one in bursts over
+ * its capacity, and may spill to the other, which has work of its own.
+ */
+import {createRandomSource} from '@sassafrasspan/core';
+import {drawServingTokens} from '../draws';
+import {VirtualClock} from '../virtual_clock';
+import type {WaitingPolicy} from './waiting_policies';
+
+const TOKEN_MS = 25;
+const BURST_MS = 20_000;
+const BURST_LOAD = 1.6;
+const QUIET_LOAD = 0.8;
+const OTHER_LOAD = 0.6;
+/** Runs of spilled work take longer, since its prompt is not cached there. */
+const COLD_FACTOR = 1.15;
+const MEAN_RUN_MS = 91 * TOKEN_MS;
+
+/** What is simulated. */
+export interface WaitingScenario {
+  readonly name: string;
+  readonly ownSlots: number;
+  readonly otherSlots: number;
+  /** One way between the failure domains, in ms. */
+  readonly latencyMs: number;
+}
+
+/** What one policy made of a scenario. */
+export interface WaitingResult {
+  readonly meanWaitMs: number;
+  readonly p99WaitMs: number;
+  /** Mean of wait, link and run against the run alone. */
+  readonly slowdown: number;
+  /** Share of the tokens that crossed the costly link. */
+  readonly spilledShare: number;
+}
+
+/** One request. */
+interface Job {
+  readonly runMs: number;
+  readonly arrivedMs: number;
+  readonly isMeasured: boolean;
+  hasSpilled: boolean;
+  isStarted: boolean;
+}
+
+/** Slots of a failure domain, first come first served. */
+class DomainQueue {
+  readonly waiting: Job[] = [];
+  private running = 0;
+
+  private constructor(
+    readonly slots: number,
+    private readonly clock: VirtualClock,
+    private readonly startJob: (job: Job) => number,
+  ) {}
+
+  static create(
+    slots: number,
+    clock: VirtualClock,
+    startJob: (job: Job) => number,
+  ): DomainQueue {
+    return new DomainQueue(slots, clock, startJob);
+  }
+
+  countWork(): number {
+    return this.running + this.waiting.length;
+  }
+
+  isBusy(): boolean {
+    return this.running >= this.slots;
+  }
+
+  addJob(job: Job): void {
+    this.waiting.push(job);
+    this.startWaiting();
+  }
+
+  removeJob(job: Job): void {
+    this.waiting.splice(this.waiting.indexOf(job), 1);
+  }
+
+  /** Returns the mean time until a new request would start, in ms. */
+  predictWaitMs(): number {
+    const queued = this.waiting.reduce((sum, job) => sum + job.runMs, 0);
+    return (queued + MEAN_RUN_MS) / this.slots;
+  }
+
+  private startWaiting(): void {
+    while (!this.isBusy()) {
+      const job = this.waiting.shift();
+      if (job === undefined) return;
+      job.isStarted = true;
+      this.running += 1;
+      this.clock.schedule(this.startJob(job), () => {
+        this.running -= 1;
+        this.startWaiting();
+      });
+    }
+  }
+}
+
+/** Runs one policy. */
+export function simulateWaiting(
+  scenario: WaitingScenario,
+  policy: WaitingPolicy,
+  seed: number,
+  durationMs: number,
+): WaitingResult {
+  const simulation = WaitingSimulation.create(scenario, policy);
+  return simulation.run(seed, durationMs);
+}
+
+/** Two failure domains under one policy. */
+class WaitingSimulation {
+  private readonly clock = VirtualClock.create();
+  private readonly finished: FinishedJob[] = [];
+  private readonly own: DomainQueue;
+  private readonly other: DomainQueue;
+
+  private constructor(
+    private readonly scenario: WaitingScenario,
+    private readonly policy: WaitingPolicy,
+  ) {
+    const startJob = (job: Job) => this.startJob(job);
+    const {ownSlots, otherSlots} = scenario;
+    this.own = DomainQueue.create(ownSlots, this.clock, startJob);
+    this.other = DomainQueue.create(otherSlots, this.clock, startJob);
+  }
+
+  static create(
+    scenario: WaitingScenario,
+    policy: WaitingPolicy,
+  ): WaitingSimulation {
+    return new WaitingSimulation(scenario, policy);
+  }
+
+  run(seed: number, durationMs: number): WaitingResult {
+    const {own, other, clock} = this;
+    addArrivals(clock, `${seed} own`, seed, {
+      isMeasured: true,
+      assignJob: job => this.assignJob(job),
+      readBusySlots: () => this.readOwnLoad() * own.slots,
+    });
+    addArrivals(clock, `${seed} other`, seed + 1, {
+      isMeasured: false,
+      assignJob: job => other.addJob(job),
+      readBusySlots: () => OTHER_LOAD * other.slots,
+    });
+    clock.runUntil(durationMs);
+    return summarizeJobs(this.finished);
+  }
+
+  private readOwnLoad(): number {
+    const period = Math.floor(this.clock.readMonotonicMs() / BURST_MS);
+    return period % 2 === 0 ? QUIET_LOAD : BURST_LOAD;
+  }
+
+  /** Returns the time for which a starting request holds its slot, in ms. */
+  private startJob(job: Job): number {
+    const linkMs = job.hasSpilled ? 2 * this.scenario.latencyMs : 0;
+    const runMs = job.runMs * (job.hasSpilled ? COLD_FACTOR : 1);
+    const waitMs = this.clock.readMonotonicMs() - job.arrivedMs;
+    const totalMs = waitMs + linkMs + runMs;
+    if (job.isMeasured) this.finished.push({job, waitMs, totalMs});
+    return runMs + linkMs;
+  }
+
+  private assignJob(job: Job): void {
+    const {own, other} = this;
+    if (!own.isBusy()) return own.addJob(job);
+    const maxWaitMs = this.policy({
+      predictedWaitMs: own.predictWaitMs(),
+      expectedRunMs: job.runMs,
+      own: {slots: own.slots, work: own.countWork()},
+      other: {slots: other.slots, work: other.countWork()},
+    });
+    if (maxWaitMs === 0) return this.spillJob(job);
+    own.addJob(job);
+    if (maxWaitMs === Infinity) return;
+    this.clock.schedule(maxWaitMs, () => {
+      if (job.isStarted) return;
+      own.removeJob(job);
+      this.spillJob(job);
+    });
+  }
+
+  private spillJob(job: Job): void {
+    job.hasSpilled = true;
+    this.other.addJob(job);
+  }
+}
+
+/** A request that has started, with its times. */
+interface FinishedJob {
+  readonly job: Job;
+  readonly waitMs: number;
+  readonly totalMs: number;
+}
+
+/** Where arriving work goes. */
+interface ArrivalTarget {
+  readonly isMeasured: boolean;
+  assignJob(job: Job): void;
+  /** Returns how many slots the arrivals keep busy. */
+  readBusySlots(): number;
+}
+
+/** Adds Poisson arrivals that keep a number of slots busy. */
+function addArrivals(
+  clock: VirtualClock,
+  key: string,
+  seed: number,
+  target: ArrivalTarget,
+): void {
+  const random = createRandomSource(seed);
+  let count = 0;
+  const addNext = () => {
+    const meanGapMs = MEAN_RUN_MS / target.readBusySlots();
+    clock.schedule(-Math.log(1 - random()) * meanGapMs, () => {
+      count += 1;
+      target.assignJob({
+        runMs: drawServingTokens(`${key} ${count}`) * TOKEN_MS,
+        arrivedMs: clock.readMonotonicMs(),
+        isMeasured: target.isMeasured,
+        hasSpilled: false,
+        isStarted: false,
+      });
+      addNext();
+    });
+  };
+  addNext();
+}
+
+function summarizeJobs(finished: readonly FinishedJob[]): WaitingResult {
+  const waits = finished.map(item => item.waitMs).sort((a, b) => a - b);
+  const sum = (values: readonly number[]) =>
+    values.reduce((total, value) => total + value, 0);
+  const runs = finished.map(item => item.job.runMs);
+  const spilled = finished.filter(item => item.job.hasSpilled);
+  return {
+    meanWaitMs: sum(waits) / waits.length,
+    p99WaitMs: waits[Math.floor(waits.length * 0.99)],
+    slowdown: sum(finished.map(item => item.totalMs)) / sum(runs),
+    spilledShare: sum(spilled.map(item => item.job.runMs)) / sum(runs),
+  };
+}
