Share the parts that entries and agents have in common

The log, metrics, rules, quarantine, object client and rules feed of a node are built in one place, and the wire form of a run's status stands once.

--- a/packages/nodes/src/frames.ts
+++ b/packages/nodes/src/frames.ts
@@ -5,13 +5,14 @@
   AnswerFrame,
   AnswerHead,
   Outcome,
+  RunStatus,
   ServiceError,
   Work,
   createError,
   getErrorAnswer,
   readErrorKind,
 } from '@sassafrasspan/core';
-import type {
+import {
   Chunk,
   End,
   Failed,
@@ -19,6 +20,7 @@
   Refused,
   RunFrame,
   RunRequest,
+  RunState,
 } from './generated/nodes';
 
 /** Writes the work of a request. */
@@ -153,3 +155,16 @@
 export function decodeEnd(end: End): AnswerEnd {
   return end;
 }
+
+/** Wire state of each status of a run. */
+const RUN_STATES: Readonly<Record<RunStatus, RunState>> = {
+  'not-run': RunState.RUN_STATE_NOT_RUN,
+  running: RunState.RUN_STATE_RUNNING,
+  finished: RunState.RUN_STATE_FINISHED,
+  unknown: RunState.RUN_STATE_UNKNOWN,
+};
+
+/** Writes the status of a run. */
+export function encodeRunStatus(status: RunStatus): RunState {
+  return RUN_STATES[status];
+}
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -1,9 +1,6 @@
 /** The agent: composition of its parts, start and graceful stop. */
-import {randomUUID} from 'node:crypto';
 import {
   ANSWER_KEEP_MS,
-  Quarantine,
-  RulesHolder,
   VERSION_HEAD_SCHEMA,
   createError,
   formatVersionKey,
@@ -15,25 +12,22 @@
   NodeServer,
   RunFrame,
   RunRequest,
-  WireRunState,
+  encodeRunStatus,
   encodeRefusal,
 } from '@sassafrasspan/nodes';
-import {ObjectClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
-  DecisionLog,
   HttpServer,
-  Metrics,
   SYSTEM_CLOCK,
   SYSTEM_SCHEDULER,
-  createEventLog,
   waitMs,
 } from '@sassafrasspan/runtime';
 import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
 import {ObjectWatch} from '../shared/object_watch';
 import {createOperatorsRoutes} from '../shared/operators_routes';
-import {RulesFeed, createRulesReply} from '../shared/rules_feed';
+import {NodeParts, createNodeParts} from '../shared/node_parts';
+import {createRulesReply} from '../shared/rules_feed';
 import type {AgentSettings} from '../shared/settings_schemas';
 import {AgentRuns} from './agent_runs';
 import {EndpointUnit} from './endpoint_unit';
@@ -47,23 +41,9 @@
 const PEER_LIMIT_MS = 5_000;
 const RULES_POLL_INTERVAL_MS = 60_000;
 
-/** Wire state of each status of a run. */
-const WIRE_STATES = {
-  'not-run': WireRunState.RUN_STATE_NOT_RUN,
-  running: WireRunState.RUN_STATE_RUNNING,
-  finished: WireRunState.RUN_STATE_FINISHED,
-  unknown: WireRunState.RUN_STATE_UNKNOWN,
-} as const;
-
 /** A running agent. */
 export class AgentProcess {
-  private readonly incarnation = randomUUID();
-  private readonly log: DecisionLog;
-  private readonly metrics = Metrics.create();
-  private readonly rules = RulesHolder.create();
-  private readonly quarantine = Quarantine.create();
-  private readonly store: ObjectClient;
-  private readonly feed: RulesFeed;
+  private readonly parts: NodeParts;
   private readonly units: ReadonlyMap<string, EndpointUnit>;
   private readonly weights: WeightParts;
   private readonly watches: readonly ObjectWatch[];
@@ -78,22 +58,9 @@
   private stopping: Promise<void> | undefined;
 
   private constructor(private readonly settings: AgentSettings) {
-    const {name, log} = settings;
-    this.log = DecisionLog.create({
-      log: createEventLog({node: name, role: 'agent', level: log.level}),
-      clock: SYSTEM_CLOCK,
-    });
-    this.store = ObjectClient.create(settings.platform.objectsUrl);
-    this.feed = RulesFeed.create({
-      store: this.store,
-      holder: this.rules,
-      clock: SYSTEM_CLOCK,
-      random: Math.random,
-      log: this.log,
-      pollIntervalMs: RULES_POLL_INTERVAL_MS,
-    });
-    this.rules.addListener(() => this.heartbeats.sendNow());
-    this.rules.addListener(() => this.applyShares());
+    this.parts = createNodeParts(settings, RULES_POLL_INTERVAL_MS);
+    this.parts.rules.addListener(() => this.heartbeats.sendNow());
+    this.parts.rules.addListener(() => this.applyShares());
     this.units = new Map(
       settings.endpoints.map(item => [
         item.name,
@@ -103,23 +70,23 @@
     this.weights = this.createWeights();
     this.watches = this.createVersionWatches();
     this.runs = AgentRuns.create({
-      incarnation: this.incarnation,
+      incarnation: this.parts.incarnation,
       units: this.units,
-      quarantine: this.quarantine,
+      quarantine: this.parts.quarantine,
       clock: SYSTEM_CLOCK,
       scheduler: SYSTEM_SCHEDULER,
-      log: this.log,
-      metrics: this.metrics,
-      getRulesRevision: () => this.rules.getRevisionNumber(),
+      log: this.parts.log,
+      metrics: this.parts.metrics,
+      getRulesRevision: () => this.parts.rules.getRevisionNumber(),
       getHomes: service =>
-        this.rules.getBook()?.findPool(service)?.endpoints ?? [],
+        this.parts.rules.getBook()?.findPool(service)?.endpoints ?? [],
     });
     this.peerServer = NodeServer.createAgent(this.createHandlers());
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
-        metrics: this.metrics,
-        node: name,
-        decisions: this.log,
+        metrics: this.parts.metrics,
+        node: settings.name,
+        decisions: this.parts.log,
         isReady: () => this.isReady(),
         describeStatus: () => ({
           role: 'agent',
@@ -142,14 +109,14 @@
       this.settings.operators,
     );
     await this.weights.start();
-    this.feed.start();
-    this.quarantine.subscribe(() => this.heartbeats.sendNow());
+    this.parts.feed.start();
+    this.parts.quarantine.subscribe(() => this.heartbeats.sendNow());
     for (const watch of this.watches) void watch.run();
     this.addTimer(SWEEP_INTERVAL_MS, () => this.runs.sweep());
     this.addTimer(LOAD_INTERVAL_MS, () => this.refreshUnits());
     this.refreshUnits();
-    this.log.writeEvent('process-started', {
-      incarnation: this.incarnation,
+    this.parts.log.writeEvent('process-started', {
+      incarnation: this.parts.incarnation,
       peers: `${peers.host}:${peers.port}`,
     });
     return {peers, operators};
@@ -165,21 +132,21 @@
   }
 
   private async finishAndStop(): Promise<void> {
-    this.log.writeEvent('process-draining');
+    this.parts.log.writeEvent('process-draining');
     this.startLeaving();
     while (!this.runs.isIdle()) await waitMs(DRAIN_POLL_MS);
     await this.waitForAcknowledgements();
     await waitMs(LINGER_MS);
     for (const timer of this.timers) clearInterval(timer);
     for (const watch of this.watches) watch.stop();
-    this.feed.stop();
+    this.parts.feed.stop();
     this.weights.stop();
     this.heartbeats.close();
     await Promise.race([this.peerServer.close(), waitMs(PEER_LIMIT_MS)]);
     this.peerServer.destroy();
     this.operatorsServer.destroy();
-    await this.store.close();
-    this.log.writeEvent('process-stopped');
+    await this.parts.store.close();
+    this.parts.log.writeEvent('process-stopped');
   }
 
   /** Keeps answers for entries that have not got them whole yet. */
@@ -199,7 +166,7 @@
   }
 
   private isReady(): boolean {
-    return this.feed.isSettled() && !this.isLeaving;
+    return this.parts.feed.isSettled() && !this.isLeaving;
   }
 
   private addTimer(intervalMs: number, task: () => void): void {
@@ -220,18 +187,18 @@
   private createWeights(): WeightParts {
     return WeightParts.create({
       settings: this.settings,
-      holder: `${this.settings.name}/${this.incarnation}`,
+      holder: `${this.settings.name}/${this.parts.incarnation}`,
       engines: this.listEngines(),
-      store: this.store,
-      rules: this.rules,
+      store: this.parts.store,
+      rules: this.parts.rules,
       clock: SYSTEM_CLOCK,
-      log: this.log,
+      log: this.parts.log,
     });
   }
 
   /** Hands the customers' shares of each pool to its queues. */
   private applyShares(): void {
-    const book = this.rules.getBook();
+    const book = this.parts.rules.getBook();
     if (book === undefined) return;
     for (const {queue, settings} of this.units.values()) {
       queue.setShares(book.listShares(settings.service));
@@ -244,10 +211,10 @@
     );
     return [...services].map(service =>
       ObjectWatch.create({
-        store: this.store,
+        store: this.parts.store,
         key: formatVersionKey(service),
         random: Math.random,
-        log: this.log,
+        log: this.parts.log,
         listener: async object => this.applyVersion(object.value),
       }),
     );
@@ -266,7 +233,10 @@
       resume: (request, writer) => this.runs.resumeRun(request, writer),
       revoke: request => {
         const status = this.runs.revokeRun(request);
-        return {state: WIRE_STATES[status], incarnation: this.incarnation};
+        return {
+          state: encodeRunStatus(status),
+          incarnation: this.parts.incarnation,
+        };
       },
       acknowledge: request => ({
         found: this.runs.acknowledgeRun(request),
@@ -276,19 +246,20 @@
           requestId: record.dispatch.requestId,
           state:
             record.state === 'finished'
-              ? WIRE_STATES.finished
-              : WIRE_STATES.running,
+              ? encodeRunStatus('finished')
+              : encodeRunStatus('running'),
           totalLength: record.answer.getLength(),
         })),
       }),
       watch: (request, writer) => {
-        this.feed.recordPeer(request.rulesRevision);
+        this.parts.feed.recordPeer(request.rulesRevision);
         this.heartbeats.addWatcher(writer);
       },
-      fetchRules: request => createRulesReply(this.rules, request.newerThan),
+      fetchRules: request =>
+        createRulesReply(this.parts.rules, request.newerThan),
       fetchWeights: (request, writer) =>
         void this.weights.sendBlock(request, writer),
-      offerRules: offer => this.feed.acceptOffer(offer),
+      offerRules: offer => this.parts.feed.acceptOffer(offer),
       drain: request => this.drainEndpoint(request.endpoint),
     };
   }
@@ -308,7 +279,7 @@
     if (unit.getCondition() === 'leaving') return;
     unit.markLeaving();
     const endpoint = unit.settings.name;
-    this.log.writeEvent('endpoint-leaving', {endpoint});
+    this.parts.log.writeEvent('endpoint-leaving', {endpoint});
   }
 
   /** Refuses work that was decided under rules that are not here yet. */
@@ -316,14 +287,18 @@
     request: RunRequest,
     writer: MessageWriter<RunFrame>,
   ): void {
-    const held = this.rules.getRevisionNumber();
+    const held = this.parts.rules.getRevisionNumber();
     if (request.rulesRevision <= held) {
       return this.runs.runRequest(request, writer);
     }
     const detail = `rules ${request.rulesRevision}, here ${held}`;
     const {requestId} = request;
     const error = createError('stale-rules', detail);
-    this.log.writeEvent('run-refused', {requestId, kind: error.kind, detail});
+    this.parts.log.writeEvent('run-refused', {
+      requestId,
+      kind: error.kind,
+      detail,
+    });
     writer.send(encodeRefusal(request, error));
     writer.end();
   }
@@ -332,14 +307,14 @@
     return {
       agent: this.settings.name,
       failureDomain: this.settings.failureDomain,
-      incarnation: this.incarnation,
+      incarnation: this.parts.incarnation,
       tick: SYSTEM_CLOCK.readMonotonicMs(),
-      rulesRevision: this.rules.getRevisionNumber(),
+      rulesRevision: this.parts.rules.getRevisionNumber(),
       endpoints: [...this.units.values()].map(unit => unit.createReport()),
-      quarantined: this.quarantine.listQuarantined(),
+      quarantined: this.parts.quarantine.listQuarantined(),
       leaving: this.isLeaving,
       versionHeads: [],
-      suspicions: this.quarantine.listSuspicions().map(item => ({
+      suspicions: this.parts.quarantine.listSuspicions().map(item => ({
         fingerprint: item.fingerprint,
         crashIds: [...item.crashIds],
       })),
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -1,24 +1,14 @@
 /** The entry: composition of its parts, start and graceful stop. */
-import {randomUUID} from 'node:crypto';
 import {createCallerRoutes} from '@sassafrasspan/callers';
-import {
-  BurnBook,
-  CustomerLimiter,
-  FleetView,
-  Quarantine,
-  RulesHolder,
-} from '@sassafrasspan/core';
+import {BurnBook, CustomerLimiter, FleetView} from '@sassafrasspan/core';
 import {EntryHeartbeat, NodeServer} from '@sassafrasspan/nodes';
-import {ObjectClient, VmListClient} from '@sassafrasspan/platform';
+import {VmListClient} from '@sassafrasspan/platform';
 import {
   DEFAULT_HTTP_LIMITS,
-  DecisionLog,
   HttpServer,
   LatencyHistograms,
   ListenAddress,
-  Metrics,
   SYSTEM_CLOCK,
-  createEventLog,
   waitMs,
 } from '@sassafrasspan/runtime';
 import {ScoringClient, ScoringService} from '@sassafrasspan/scoring';
@@ -26,7 +16,8 @@
 import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
 import {createOperatorsRoutes} from '../shared/operators_routes';
-import {RulesFeed, createRulesReply} from '../shared/rules_feed';
+import {NodeParts, createNodeParts} from '../shared/node_parts';
+import {createRulesReply} from '../shared/rules_feed';
 import type {EntrySettings} from '../shared/settings_schemas';
 import {encodeDemand, listPeerDemand} from './demand_reports';
 import {Dispatcher} from './dispatcher';
@@ -54,24 +45,12 @@
 
 /** A running entry. */
 export class EntryProcess {
-  private readonly incarnation = randomUUID();
-  private readonly log: DecisionLog;
-  private readonly metrics = Metrics.create();
-  private readonly rules = RulesHolder.create();
-  private readonly quarantine = Quarantine.create();
+  private readonly parts: NodeParts;
   private readonly limiter = CustomerLimiter.create();
   private readonly fleet = FleetView.create();
-  private readonly burn = BurnBook.create(() => this.rules.getBook());
+  private readonly burn = BurnBook.create(() => this.parts.rules.getBook());
   private readonly latencies = LatencyHistograms.create();
-  private readonly measured = MeasuredBackends.create({
-    burn: this.burn,
-    latencies: this.latencies,
-    rules: this.rules,
-    fleet: this.fleet,
-    clock: SYSTEM_CLOCK,
-  });
-  private readonly store: ObjectClient;
-  private readonly feed: RulesFeed;
+  private readonly measured: MeasuredBackends;
   private readonly directory: NodeDirectory;
   private readonly dispatcher: Dispatcher;
   private readonly steps: StepService;
@@ -89,20 +68,15 @@
   private stopping: Promise<void> | undefined;
 
   private constructor(private readonly settings: EntrySettings) {
-    const {name, log} = settings;
-    this.log = DecisionLog.create({
-      log: createEventLog({node: name, role: 'entry', level: log.level}),
-      clock: SYSTEM_CLOCK,
-    });
-    this.store = ObjectClient.create(settings.platform.objectsUrl);
-    this.feed = RulesFeed.create({
-      store: this.store,
-      holder: this.rules,
+    this.parts = createNodeParts(settings);
+    this.measured = MeasuredBackends.create({
+      burn: this.burn,
+      latencies: this.latencies,
+      rules: this.parts.rules,
+      fleet: this.fleet,
       clock: SYSTEM_CLOCK,
-      random: Math.random,
-      log: this.log,
     });
-    this.rules.addListener(() => this.heartbeats.sendNow());
+    this.parts.rules.addListener(() => this.heartbeats.sendNow());
     this.scoring = new Map(
       settings.scoring.map(item => [item.name, ScoringClient.create(item.url)]),
     );
@@ -110,16 +84,16 @@
     this.dispatcher = this.createDispatcher();
     this.steps = this.createSteps();
     this.publisher = VersionPublisher.create({
-      store: this.store,
-      rules: this.rules,
+      store: this.parts.store,
+      rules: this.parts.rules,
       clock: SYSTEM_CLOCK,
-      log: this.log,
+      log: this.parts.log,
     });
     this.callers = EntryCallers.create({
       dispatcher: this.dispatcher,
-      rules: this.rules,
-      log: this.log,
-      metrics: this.metrics,
+      rules: this.parts.rules,
+      log: this.parts.log,
+      metrics: this.parts.metrics,
       ...settings.limits,
       clock: SYSTEM_CLOCK,
       limiter: this.limiter,
@@ -127,10 +101,11 @@
     });
     this.peerServer = NodeServer.createEntry({
       watch: (request, writer) => {
-        this.feed.recordPeer(request.rulesRevision);
+        this.parts.feed.recordPeer(request.rulesRevision);
         this.heartbeats.addWatcher(writer);
       },
-      fetchRules: request => createRulesReply(this.rules, request.newerThan),
+      fetchRules: request =>
+        createRulesReply(this.parts.rules, request.newerThan),
       forwardStep: call => this.steps.answerForwarded(call),
     });
     this.callersServer = HttpServer.create(
@@ -148,9 +123,9 @@
     );
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
-        metrics: this.metrics,
-        node: name,
-        decisions: this.log,
+        metrics: this.parts.metrics,
+        node: settings.name,
+        decisions: this.parts.log,
         isReady: () => this.isReady(),
         describeStatus: () => this.describeStatus(),
         describeBurn: () => ({
@@ -174,15 +149,15 @@
       this.settings.operators,
     );
     const callers = await this.callersServer.listen(this.settings.callers);
-    this.feed.start();
-    this.quarantine.subscribe(() => this.heartbeats.sendNow());
+    this.parts.feed.start();
+    this.parts.quarantine.subscribe(() => this.heartbeats.sendNow());
     this.directory.start();
     void this.directory.refresh();
     this.addTimer(VM_LIST_INTERVAL_MS, () => void this.directory.refresh());
     this.addTimer(STEP_INTERVAL_MS, () => this.steps.advance());
     this.addTimer(STEP_INTERVAL_MS, () => this.measured.advance());
-    this.log.writeEvent('process-started', {
-      incarnation: this.incarnation,
+    this.parts.log.writeEvent('process-started', {
+      incarnation: this.parts.incarnation,
       callers: `${callers.host}:${callers.port}`,
     });
     return {peers, operators, callers};
@@ -199,7 +174,7 @@
 
   private async finishAndStop(): Promise<void> {
     this.isLeaving = true;
-    this.log.writeEvent('process-draining');
+    this.parts.log.writeEvent('process-draining');
     this.heartbeats.sendNow();
     this.callersServer.startDraining();
     this.steps.stop();
@@ -209,14 +184,14 @@
     await Promise.race([closed, waitMs(READER_LIMIT_MS)]);
     this.callersServer.destroy();
     for (const timer of this.timers) clearInterval(timer);
-    this.feed.stop();
+    this.parts.feed.stop();
     this.heartbeats.close();
     await Promise.race([this.peerServer.close(), waitMs(PEER_LIMIT_MS)]);
     this.directory.stop();
     this.peerServer.destroy();
     this.operatorsServer.destroy();
-    await this.store.close();
-    this.log.writeEvent('process-stopped');
+    await this.parts.store.close();
+    this.parts.log.writeEvent('process-stopped');
   }
 
   private addTimer(intervalMs: number, task: () => void): void {
@@ -224,7 +199,7 @@
   }
 
   private isReady(): boolean {
-    return this.feed.isSettled() && !this.isLeaving;
+    return this.parts.feed.isSettled() && !this.isLeaving;
   }
 
   private createDirectory(): NodeDirectory {
@@ -234,12 +209,12 @@
       seeds: settings.seeds,
       vmList: VmListClient.create(settings.platform.vmsUrl),
       fleet: this.fleet,
-      rules: this.rules,
-      feed: this.feed,
-      quarantine: this.quarantine,
+      rules: this.parts.rules,
+      feed: this.parts.feed,
+      quarantine: this.parts.quarantine,
       clock: SYSTEM_CLOCK,
       random: Math.random,
-      log: this.log,
+      log: this.parts.log,
     });
   }
 
@@ -249,25 +224,25 @@
       failureDomain: this.settings.failureDomain,
       fleet: this.fleet,
       directory: this.directory,
-      rules: this.rules,
-      quarantine: this.quarantine,
+      rules: this.parts.rules,
+      quarantine: this.parts.quarantine,
       clock: SYSTEM_CLOCK,
       random: Math.random,
-      log: this.log,
-      metrics: this.metrics,
+      log: this.parts.log,
+      metrics: this.parts.metrics,
     });
   }
 
   private createSteps(): StepService {
     return StepService.create({
       entry: this.settings.name,
-      incarnation: this.incarnation,
+      incarnation: this.parts.incarnation,
       directory: this.directory,
       dispatcher: this.dispatcher,
-      store: this.store,
-      rules: this.rules,
+      store: this.parts.store,
+      rules: this.parts.rules,
       clock: SYSTEM_CLOCK,
-      log: this.log,
+      log: this.parts.log,
       pool: StepPool.create({fleet: this.fleet, clock: SYSTEM_CLOCK}),
       findScoring: name => this.scoring.get(name) ?? createMissingScoring(name),
     });
@@ -292,17 +267,17 @@
     return {
       entry: this.settings.name,
       failureDomain: this.settings.failureDomain,
-      incarnation: this.incarnation,
-      rulesRevision: this.rules.getRevisionNumber(),
+      incarnation: this.parts.incarnation,
+      rulesRevision: this.parts.rules.getRevisionNumber(),
       ready: this.isReady(),
       leaving: this.isLeaving,
       demand: encodeDemand(
         this.limiter.listDemand(SYSTEM_CLOCK.readMonotonicMs()),
       ),
       digests: [],
-      quarantined: this.quarantine.listQuarantined(),
+      quarantined: this.parts.quarantine.listQuarantined(),
       versionHeads: [],
-      suspicions: this.quarantine.listSuspicions().map(item => ({
+      suspicions: this.parts.quarantine.listSuspicions().map(item => ({
         fingerprint: item.fingerprint,
         crashIds: [...item.crashIds],
       })),
@@ -316,7 +291,7 @@
       role: 'entry',
       failureDomain: this.settings.failureDomain,
       leaving: this.isLeaving,
-      rulesRevision: this.rules.getRevisionNumber(),
+      rulesRevision: this.parts.rules.getRevisionNumber(),
       openRequests: this.dispatcher.countOpen(),
       agents: this.fleet.listAgents(nowMs),
     };
--- /dev/null
+++ b/packages/server/src/shared/node_parts.ts
@@ -0,0 +1,57 @@
+/** The parts that entries and agents have in common. */
+import {randomUUID} from 'node:crypto';
+import {Quarantine, RulesHolder} from '@sassafrasspan/core';
+import {ObjectClient} from '@sassafrasspan/platform';
+import {
+  DecisionLog,
+  Metrics,
+  SYSTEM_CLOCK,
+  createEventLog,
+} from '@sassafrasspan/runtime';
+import {RulesFeed} from './rules_feed';
+import type {NodeSettings} from './settings_schemas';
+
+/** Parts of one life of a node. */
+export interface NodeParts {
+  readonly incarnation: string;
+  readonly log: DecisionLog;
+  readonly metrics: Metrics;
+  readonly rules: RulesHolder;
+  readonly quarantine: Quarantine;
+  readonly store: ObjectClient;
+  readonly feed: RulesFeed;
+}
+
+/**
+ * Builds the parts of a node. With an interval in ms the rules head is read
+ * at that interval; without one it is watched.
+ */
+export function createNodeParts(
+  settings: NodeSettings,
+  pollIntervalMs?: number,
+): NodeParts {
+  const {name, role} = settings;
+  const log = DecisionLog.create({
+    log: createEventLog({node: name, role, level: settings.log.level}),
+    clock: SYSTEM_CLOCK,
+  });
+  const store = ObjectClient.create(settings.platform.objectsUrl);
+  const rules = RulesHolder.create();
+  const feed = RulesFeed.create({
+    store,
+    holder: rules,
+    clock: SYSTEM_CLOCK,
+    random: Math.random,
+    log,
+    pollIntervalMs,
+  });
+  return {
+    incarnation: randomUUID(),
+    log,
+    metrics: Metrics.create(),
+    rules,
+    quarantine: Quarantine.create(),
+    store,
+    feed,
+  };
+}
--- a/packages/server/src/testing/world_peer.ts
+++ b/packages/server/src/testing/world_peer.ts
@@ -10,7 +10,7 @@
   SILENCE_TIMEOUT_MS,
   StreamHandle,
   StreamListener,
-  WireRunState,
+  encodeRunStatus,
 } from '@sassafrasspan/nodes';
 import {Result, err, ok} from 'neverthrow';
 import type {AgentRuns} from '../agent/agent_runs';
@@ -18,13 +18,6 @@
 const UNARY_TIMEOUT_MS = 1_500;
 const SILENCE_CHECK_MS = 100;
 
-const WIRE_STATES = {
-  'not-run': WireRunState.RUN_STATE_NOT_RUN,
-  running: WireRunState.RUN_STATE_RUNNING,
-  finished: WireRunState.RUN_STATE_FINISHED,
-  unknown: WireRunState.RUN_STATE_UNKNOWN,
-} as const;
-
 /** One life of an agent. */
 export interface AgentLife {
   readonly incarnation: string;
@@ -60,7 +53,7 @@
       ),
     revokeRun: request =>
       callAgent(link, life => ({
-        state: WIRE_STATES[life.runs.revokeRun(request)],
+        state: encodeRunStatus(life.runs.revokeRun(request)),
         incarnation: life.incarnation,
       })),
     acknowledgeRun: (requestId, cancel, run) => {
