Let a step that was sent whole hold nothing back

Cause: how far the next step of a trainer may run ahead counted every unacknowledged sample of its earlier steps as being in front. A trainer that has been sent a whole step does not pull it again, so its last samples counted for as long as the home kept the step. Ruled out by a trace: lost dispatches, leaked slots, a moved home, a failed PUT. First try: sent samples do not count as waiting at all.

--- a/packages/core/src/rollout/staleness_forecast.ts
+++ b/packages/core/src/rollout/staleness_forecast.ts
@@ -32,14 +32,17 @@
  * steps are open. A sample started now is delivered after all that is before
  * it, so that more of that makes it older. The lower the weight of idle time,
  * the smaller the part of the bound that this wait may use up; until the pace
- * of the trainer is known, the smaller the part of the step. The trainer's
- * first open step is never held back.
+ * of the trainer is known, the smaller the part of the step. The first step
+ * with anything left to send is never held back: a trainer that has been sent
+ * a whole step goes on to the next without saying so.
  */
 export function countAllowedAhead(
   step: StepDemand,
   earlier: readonly StepDemand[],
 ): number {
-  if (earlier.length === 0) return step.missing.length;
+  const before = earlier.map(countPending);
+  const sum = before.reduce((total, count) => total + count, 0);
+  if (sum === 0) return step.missing.length;
   const {idleWeight, stalenessBound} = step;
   const rates = [...earlier, step].flatMap(
     item => item.samplesPerVersion ?? [],
@@ -48,11 +51,14 @@
     return Math.max(0, step.total * idleWeight - countStarted(step));
   }
   const ahead = Math.max(...rates) * stalenessBound * idleWeight;
-  const before = earlier.map(item => item.missing.length + countStarted(item));
-  const sum = before.reduce((total, count) => total + count, 0);
   return Math.max(0, Math.ceil(ahead) - sum - countStarted(step));
 }
 
+/** Returns how many samples of a step its trainer has still to be sent. */
+function countPending(step: StepDemand): number {
+  return step.missing.length + countStarted(step);
+}
+
 function countStarted(step: StepDemand): number {
   return step.ready + step.running.length;
 }
--- a/packages/core/src/rollout/step_policy.test.ts
+++ b/packages/core/src/rollout/step_policy.test.ts
@@ -75,6 +75,14 @@
   expect(planSlots([step])).toHaveLength(POOL.freeSlots);
 });
 
+test('a step that has been sent whole holds nothing back', () => {
+  const sent = createStep({missing: [], ready: 0, running: []});
+  const next = createStep({stepName: 'briefs/step-2', idleWeight: 0});
+  expect(planSlots([sent, next])).toHaveLength(POOL.freeSlots);
+  const unsent = {...sent, ready: 1};
+  expect(planSlots([unsent, next])).toHaveLength(0);
+});
+
 test('nothing starts that would be stale on arrival', () => {
   const behind = createStep({trainerVersion: 8});
   const due = {versionIntervalMs: 9_000, sinceVersionMs: 8_500};
--- a/packages/core/src/rollout/step_policy.ts
+++ b/packages/core/src/rollout/step_policy.ts
@@ -37,7 +37,7 @@
   readonly trainerVersion: number;
   /** Slots of the step. */
   readonly total: number;
-  /** Samples that wait to be pulled. */
+  /** Samples that wait to be pulled; 0 once all of the step was sent. */
   readonly ready: number;
   /** Samples that the trainer takes for each version it publishes;
    * undefined when not known. */
--- a/packages/core/src/rollout/step_state.test.ts
+++ b/packages/core/src/rollout/step_state.test.ts
@@ -121,3 +121,15 @@
   const order = [first, second].flatMap(reply => reply.samples);
   expect(order.map(sample => sample.slot)).toEqual([1, 3, 2, 0]);
 });
+
+test('a step that has been sent whole has nothing waiting', () => {
+  const state = createState();
+  fillSlots(state, 0);
+  const countWaiting = () => state.describeDemand(1, 0).ready;
+  const seen = [countWaiting()];
+  const first = pull(state, '');
+  seen.push(countWaiting());
+  pull(state, first.cursor);
+  seen.push(countWaiting());
+  expect(seen).toEqual([4, 4, 0]);
+});
--- a/packages/core/src/rollout/step_state.ts
+++ b/packages/core/src/rollout/step_state.ts
@@ -66,6 +66,8 @@
   /** Name of the step and of its exact description. */
   readonly identityKey: string;
   private readonly ready = new Map<number, Sample>();
+  /** Ready samples that a reply has carried already. */
+  private readonly sent = new Set<number>();
   private readonly copies = SlotCopies.create();
   private readonly failed = new Map<number, ErrorKind>();
   private readonly retryAtMs = new Map<number, number>();
@@ -121,7 +123,7 @@
       stalenessBound: this.readBound(),
       trainerVersion: this.newestVersion,
       total: this.countSlots(),
-      ready: this.ready.size,
+      ready: this.isSentWhole() ? 0 : this.ready.size,
       samplesPerVersion: this.samplesPerVersion,
       missing: this.listMissing(nowMs),
       running: this.copies.describe(groupSize, group =>
@@ -256,7 +258,7 @@
     this.acknowledged =
       isLagging && !isRestored ? delivered.merge(this.acknowledged) : delivered;
     for (const slot of this.ready.keys()) {
-      if (delivered.has(slot)) this.ready.delete(slot);
+      if (delivered.has(slot)) this.removeReady(slot);
     }
   }
 
@@ -271,6 +273,7 @@
       .sort(compareAge)
       .slice(0, pull.maxSamples);
     const slots = samples.map(sample => sample.slot);
+    for (const slot of slots) this.sent.add(slot);
     const next = pull.delivered.addSlots(slots);
     const failed = this.listFailed(next);
     const delivered = next.count();
@@ -287,6 +290,11 @@
     };
   }
 
+  private removeReady(slot: number): void {
+    this.ready.delete(slot);
+    this.sent.delete(slot);
+  }
+
   private listFailed(delivered: DeliveredSet): FailedSlot[] {
     return [...this.failed]
       .filter(([slot]) => !delivered.has(slot))
@@ -297,7 +305,7 @@
     const bound = this.readBound();
     for (const [slot, sample] of this.ready) {
       if (!isStale(sample, this.newestVersion, bound)) continue;
-      this.ready.delete(slot);
+      this.removeReady(slot);
       this.droppedStale += 1;
       this.droppedSlots.push(slot);
     }
@@ -316,6 +324,16 @@
     return this.acknowledged.count() + failed === this.countSlots();
   }
 
+  /**
+   * Tells whether replies have carried all of the step. Its trainer may go on
+   * to the next step without acknowledging the last of them.
+   */
+  private isSentWhole(): boolean {
+    const settled = this.acknowledged.count() + this.ready.size;
+    const isAllThere = settled + this.failed.size >= this.countSlots();
+    return isAllThere && this.sent.size === this.ready.size;
+  }
+
   /** Tells whether a sample of the slot waits to be pulled. */
   hasReady(slot: number): boolean {
     return this.ready.has(slot);
