--- a/bin/run_tests.mjs
+++ b/bin/run_tests.mjs
@@ -41,6 +41,7 @@
   console.error('The tests gave no results.');
   process.exit(1);
 }
+if (existsSync(KNOWN_RED)) console.log(readFileSync(KNOWN_RED, 'utf8'));
 const knownRed = readKnownRed();
 const failures = listFailures(results);
 for (const name of failures.filter(item => knownRed.includes(item))) {
