Serve batch jobs on the users' platform

A home keeps jobs and their results in the store, agents run the items beside the model servers, and entries pass trainers' calls to the home.

--- /dev/null
+++ b/packages/core/src/batch/flush_decision.ts
@@ -0,0 +1,37 @@
+/**
+ * Decides when finished results of a job are written to its log. Each write
+ * costs a call to the store, so that results are collected for a while, except
+ * when they make the job whole enough for its trainer to go on.
+ */
+import type {JobState} from './job_state';
+
+/** Time for which results are collected, in ms. */
+const COLLECT_MS = 300;
+
+/** Returns the time until the next write, in ms; undefined for none. */
+export function computeFlushDelay(
+  state: JobState,
+  lastFlushAtMs: number,
+  nowMs: number,
+): number | undefined {
+  let finished = 0;
+  for (const item of state.items.values()) {
+    if (item.phase === 'finished') finished += 1;
+  }
+  if (finished === 0) return undefined;
+  if (isWholeEnough(state)) return 0;
+  return Math.max(0, lastFlushAtMs + COLLECT_MS - nowMs);
+}
+
+/** Tells whether the trainer has what it waits for once all is listed. */
+function isWholeEnough(state: JobState): boolean {
+  const whole = state.groups.filter(group =>
+    group.items.every(
+      item => item.phase === 'finished' || item.phase === 'listed',
+    ),
+  );
+  const carriedLeft = state.groups.some(
+    group => group.isCarried && !whole.includes(group),
+  );
+  return !carriedLeft && whole.length >= state.job.desiredGroups;
+}
--- /dev/null
+++ b/packages/core/src/batch/job_state.ts
@@ -0,0 +1,258 @@
+/**
+ * The state of one batch job at its home: what each item has generated, where
+ * it runs, and the log of results. Positions of the log are given only by
+ * records that the store has taken, so that no node ever sees another order.
+ */
+import {
+  BatchJob,
+  JobItem,
+  JobResult,
+  RunEnd,
+  TextEvent,
+  createDeadResult,
+  createResult,
+} from './batch_types';
+
+/** Time before an item is tried again after a break or a rejection, in ms. */
+const RETRY_DELAY_MS: Readonly<Partial<Record<RunEnd, number>>> = {
+  'not-run': 40,
+  broken: 20,
+  failed: 100,
+};
+/** Endpoints that may break off while they run an item, none having made an
+ * event of it, before it counts as one that crashes endpoints. */
+const MAX_BARREN_BREAKS = 3;
+
+/** Where an item runs. */
+export interface ItemRun {
+  /** Name of the run, unique among runs of all items. */
+  readonly runId: string;
+  readonly endpointId: string;
+  readonly startedAtMs: number;
+  /** Events that were there when it began. */
+  readonly firstEvent: number;
+}
+
+/** State of one item. */
+export interface ItemState {
+  readonly item: JobItem;
+  phase: 'waiting' | 'running' | 'finished' | 'listed';
+  events: TextEvent[];
+  run: ItemRun | undefined;
+  /** Result that waits for its place in the log. */
+  result: JobResult | undefined;
+  /** Not started again before this time. */
+  retryAtMs: number;
+  /** Answers by which an endpoint failed it. */
+  failures: number;
+  /** Breaks in a row without one event. */
+  barrenBreaks: number;
+  /** When the last event arrived. */
+  progressAtMs: number;
+}
+
+/** A group of items that is worth something only when whole. */
+export interface GroupState {
+  readonly name: string;
+  readonly items: readonly ItemState[];
+  /** Whether the trainer waits for it whichever others are complete. */
+  readonly isCarried: boolean;
+}
+
+/** A batch job at its home. */
+export class JobState {
+  readonly items: ReadonlyMap<string, ItemState>;
+  readonly groups: readonly GroupState[];
+  readonly results: JobResult[] = [];
+  /** Number of the next record of the log. */
+  nextRecord = 0;
+  isEnded = false;
+
+  private constructor(
+    readonly job: BatchJob,
+    /** Time of acceptance on the home's monotonic clock. */
+    readonly acceptedAtMs: number,
+    carriedGroups: ReadonlySet<string>,
+  ) {
+    const items = job.items.map(createItemState);
+    this.items = new Map(items.map(state => [state.item.id, state]));
+    const byGroup = new Map<string, ItemState[]>();
+    for (const state of items) {
+      const members = byGroup.get(state.item.group) ?? [];
+      members.push(state);
+      byGroup.set(state.item.group, members);
+    }
+    this.groups = [...byGroup].map(([name, members]) => ({
+      name,
+      items: members,
+      isCarried: carriedGroups.has(name),
+    }));
+  }
+
+  /** Builds the state of an accepted job. */
+  static create(
+    job: BatchJob,
+    acceptedAtMs: number,
+    carriedGroups: ReadonlySet<string> = new Set(),
+  ): JobState {
+    return new JobState(job, acceptedAtMs, carriedGroups);
+  }
+
+  /** Tells whether every item is listed. */
+  isComplete(): boolean {
+    return this.results.length === this.items.size;
+  }
+
+  /** Counts the groups whose items are all listed. */
+  countWholeGroups(): number {
+    return this.groups.filter(group =>
+      group.items.every(state => state.phase === 'listed'),
+    ).length;
+  }
+
+  /** Takes over text that an earlier job has left of an item. */
+  adoptText(
+    itemId: string,
+    events: readonly TextEvent[],
+    isWhole: boolean,
+  ): boolean {
+    const state = this.items.get(itemId);
+    if (state?.phase !== 'waiting' || !this.fitsVersions(events)) return false;
+    state.events = [...events];
+    if (isWhole) finishItem(state, createResult(itemId, events));
+    return true;
+  }
+
+  /** Tells whether text may be used: no event is of too old a version. */
+  fitsVersions(events: readonly TextEvent[]): boolean {
+    return events.every(event => event.version >= this.job.minVersion);
+  }
+
+  /** Notes that a run was sent to an endpoint. */
+  startRun(itemId: string, run: ItemRun, nowMs: number): void {
+    const state = this.items.get(itemId);
+    if (state?.phase !== 'waiting') return;
+    state.phase = 'running';
+    state.run = run;
+    state.progressAtMs = nowMs;
+  }
+
+  /**
+   * Takes events of a run, numbered from 0 over the whole text. Returns false
+   * when the run must be stopped: it is not the item's, leaves a gap, or
+   * generates with weights that are too old.
+   */
+  addEvents(
+    itemId: string,
+    runId: string,
+    firstEvent: number,
+    events: readonly TextEvent[],
+    nowMs: number,
+  ): boolean {
+    const state = this.items.get(itemId);
+    if (state?.phase !== 'running' || state.run?.runId !== runId) return false;
+    if (firstEvent > state.events.length) return false;
+    if (!this.fitsVersions(events)) return false;
+    const fresh = events.slice(state.events.length - firstEvent);
+    if (fresh.length === 0) return true;
+    state.events.push(...fresh);
+    state.progressAtMs = nowMs;
+    state.barrenBreaks = 0;
+    return true;
+  }
+
+  /** Takes the end of a run; a run that is not the item's changes nothing. */
+  endRun(
+    itemId: string,
+    runId: string,
+    end: RunEnd,
+    nowMs: number,
+    maxFailures: number,
+  ): void {
+    const state = this.items.get(itemId);
+    if (state?.phase !== 'running' || state.run?.runId !== runId) return;
+    const hasProgress = state.events.length > state.run.firstEvent;
+    state.run = undefined;
+    state.phase = 'waiting';
+    state.retryAtMs = nowMs + (RETRY_DELAY_MS[end] ?? 0);
+    if (end === 'completed') {
+      finishItem(state, createResult(itemId, state.events));
+    } else if (end === 'impossible') {
+      finishItem(state, createDeadResult(itemId));
+    } else if (end === 'failed') {
+      state.failures += 1;
+      if (state.failures >= maxFailures) {
+        finishItem(state, createDeadResult(itemId));
+      }
+    } else if (end === 'broken' && !hasProgress) {
+      state.barrenBreaks += 1;
+    }
+  }
+
+  /** Drops text that cannot be used, so that the item begins anew. */
+  clearText(itemId: string): void {
+    const state = this.items.get(itemId);
+    if (state !== undefined && state.phase === 'waiting') state.events = [];
+  }
+
+  /** Lists results that wait for their place in the log. */
+  listUnlisted(): JobResult[] {
+    const unlisted: JobResult[] = [];
+    for (const state of this.items.values()) {
+      if (state.phase === 'finished' && state.result !== undefined) {
+        unlisted.push(state.result);
+      }
+    }
+    return unlisted;
+  }
+
+  /** Takes results that a record of the log lists, in its order. */
+  applyResults(results: readonly JobResult[]): void {
+    this.nextRecord += 1;
+    for (const result of results) {
+      const state = this.items.get(result.itemId);
+      if (state === undefined || state.phase === 'listed') continue;
+      state.phase = 'listed';
+      state.run = undefined;
+      state.result = result;
+      state.events = [];
+      this.results.push(result);
+    }
+  }
+
+  /** Gives up items that have not ended; they are listed as dead. */
+  giveUpRest(): string[] {
+    const given: string[] = [];
+    for (const state of this.items.values()) {
+      if (state.phase === 'finished' || state.phase === 'listed') continue;
+      finishItem(state, createDeadResult(state.item.id));
+      given.push(state.item.id);
+    }
+    return given;
+  }
+}
+
+/** Tells whether an item breaks every endpoint that begins to run it. */
+export function isSuspect(state: ItemState): boolean {
+  return state.barrenBreaks >= MAX_BARREN_BREAKS;
+}
+
+function createItemState(item: JobItem): ItemState {
+  return {
+    item,
+    phase: 'waiting',
+    events: [],
+    run: undefined,
+    result: undefined,
+    retryAtMs: 0,
+    failures: 0,
+    barrenBreaks: 0,
+    progressAtMs: 0,
+  };
+}
+
+function finishItem(state: ItemState, result: JobResult): void {
+  state.phase = 'finished';
+  state.run = undefined;
+  state.result = result;
+}
--- /dev/null
+++ b/packages/core/src/batch/length_forecast.ts
@@ -0,0 +1,26 @@
+/**
+ * Forecast of the tokens that an item still generates. The trainer's estimate
+ * is right at the median and often far off, so that a text that is longer than
+ * its estimate goes on for a share of what there is.
+ */
+import type {ItemState} from './job_state';
+
+/** Tokens taken for an item without an estimate, as a share of its bound. */
+const UNKNOWN_SHARE = 0.2;
+/** Least rest of a running text, as a share of its estimate or length. */
+const MIN_REST_SHARE = 0.3;
+
+/** Returns the tokens that an item is expected to still generate. */
+export function predictRemainingTokens(
+  state: ItemState,
+  tokensPerEvent: number,
+): number {
+  const {expectedTokens, maxOutputTokens} = state.item;
+  const expected = expectedTokens ?? maxOutputTokens * UNKNOWN_SHARE;
+  const made = state.events.length * tokensPerEvent;
+  const rest = Math.max(
+    expected - made,
+    MIN_REST_SHARE * Math.max(made, expected),
+  );
+  return Math.max(1, Math.min(rest, maxOutputTokens - made));
+}
--- /dev/null
+++ b/packages/core/src/batch/run_book.ts
@@ -0,0 +1,180 @@
+/**
+ * The runs of one agent, and how much of them its home has received. Ended
+ * runs stay until the home releases them, since only then their results are
+ * safe.
+ */
+import type {RunEnd, TextEvent} from './batch_types';
+import type {RunOrder, RunUpdate} from './run_messages';
+
+/** Time after which events that were not sent yet make an answer, in ms. */
+const PROGRESS_DELAY_MS = 200;
+/** Time for further ends to join the answer that tells of one, in ms. */
+const END_DELAY_MS = 10;
+/** Time after which a run that nobody releases is forgotten, in ms. */
+const ENDED_LIFE_MS = 30_000;
+
+/** A run. */
+export interface BookedRun {
+  readonly order: RunOrder;
+  readonly events: TextEvent[];
+  end: RunEnd | undefined;
+  /** Events that the home has acknowledged, and those sent last. */
+  receivedEvents: number;
+  sentEvents: number;
+  isEndReceived: boolean;
+  isEndSent: boolean;
+  /** When something not yet sent happened first; undefined for nothing. */
+  newsAtMs: number | undefined;
+  endedAtMs: number;
+}
+
+/** Runs of an agent. */
+export class RunBook {
+  private readonly runs = new Map<string, BookedRun>();
+  private sequence = 0;
+
+  private constructor() {}
+
+  /** Builds an empty book. */
+  static create(): RunBook {
+    return new RunBook();
+  }
+
+  /** Enters a run; false when it is there already. */
+  add(order: RunOrder, nowMs: number): boolean {
+    if (this.runs.has(order.runId)) return false;
+    const prior = order.prior.map(([data, version]) => ({data, version}));
+    this.runs.set(order.runId, {
+      order,
+      events: prior,
+      end: undefined,
+      receivedEvents: prior.length,
+      sentEvents: prior.length,
+      isEndReceived: false,
+      isEndSent: false,
+      newsAtMs: nowMs,
+      endedAtMs: 0,
+    });
+    return true;
+  }
+
+  /** Finds a run. */
+  find(runId: string): BookedRun | undefined {
+    return this.runs.get(runId);
+  }
+
+  /** Lists the runs that have not ended. */
+  listActive(): BookedRun[] {
+    return [...this.runs.values()].filter(run => run.end === undefined);
+  }
+
+  /** Adds an event to a run; true when the run had no other news. */
+  addEvent(runId: string, event: TextEvent, nowMs: number): boolean {
+    const run = this.runs.get(runId);
+    if (run === undefined || run.end !== undefined) return false;
+    const isFirst = run.newsAtMs === undefined;
+    run.events.push(event);
+    run.newsAtMs ??= nowMs;
+    return isFirst;
+  }
+
+  /** Ends a run; false when it has ended already. */
+  end(runId: string, end: RunEnd, nowMs: number): boolean {
+    const run = this.runs.get(runId);
+    if (run === undefined || run.end !== undefined) return false;
+    run.end = end;
+    run.endedAtMs = nowMs;
+    run.newsAtMs ??= nowMs;
+    return true;
+  }
+
+  /** Forgets runs whose results are safe. */
+  release(runIds: readonly string[]): void {
+    for (const runId of runIds) {
+      if (this.runs.get(runId)?.end !== undefined) this.runs.delete(runId);
+    }
+  }
+
+  /** Forgets ended runs that nobody has released in time. */
+  expire(nowMs: number): void {
+    for (const [runId, run] of this.runs) {
+      const isOld = nowMs - run.endedAtMs > ENDED_LIFE_MS;
+      if (run.end !== undefined && isOld) this.runs.delete(runId);
+    }
+  }
+
+  /** Begins anew for another home, which has received nothing. */
+  reset(): void {
+    for (const run of this.runs.values()) {
+      run.receivedEvents = 0;
+      run.sentEvents = 0;
+      run.isEndReceived = false;
+      run.isEndSent = false;
+      run.newsAtMs ??= 0;
+    }
+  }
+
+  /** Takes the number of the last answer that the home has received. */
+  acknowledge(after: number): void {
+    const isReceived = after === this.sequence;
+    for (const run of this.runs.values()) {
+      if (isReceived) {
+        run.receivedEvents = run.sentEvents;
+        run.isEndReceived = run.isEndSent;
+      } else {
+        run.sentEvents = run.receivedEvents;
+        run.isEndSent = run.isEndReceived;
+        if (hasNews(run)) run.newsAtMs ??= 0;
+      }
+    }
+  }
+
+  /** Returns the time until the next answer is due, in ms; 0 for now. */
+  computeDueMs(nowMs: number): number {
+    let dueMs = Infinity;
+    for (const run of this.runs.values()) {
+      if (run.newsAtMs === undefined) continue;
+      const isEnd = run.end !== undefined && !run.isEndSent;
+      const dueAtMs = isEnd
+        ? run.endedAtMs + END_DELAY_MS
+        : run.newsAtMs + PROGRESS_DELAY_MS;
+      dueMs = Math.min(dueMs, dueAtMs - nowMs);
+    }
+    return Math.max(0, dueMs);
+  }
+
+  /** Returns what is new, and the number of the answer that carries it. */
+  takeUpdates(): {sequence: number; updates: RunUpdate[]} {
+    const updates: RunUpdate[] = [];
+    for (const run of this.runs.values()) {
+      if (run.newsAtMs === undefined) continue;
+      run.newsAtMs = undefined;
+      updates.push(describeNews(run));
+      run.sentEvents = run.events.length;
+      run.isEndSent = run.end !== undefined;
+    }
+    this.sequence += 1;
+    return {sequence: this.sequence, updates};
+  }
+}
+
+function hasNews(run: BookedRun): boolean {
+  const hasEnd = run.end !== undefined && !run.isEndSent;
+  return hasEnd || run.events.length > run.sentEvents;
+}
+
+function describeNews(run: BookedRun): RunUpdate {
+  const {runId, jobId, itemId, endpointId, prior} = run.order;
+  return {
+    runId,
+    jobId,
+    itemId,
+    endpointId,
+    firstEvent: prior.length,
+    from: run.sentEvents,
+    events: run.events
+      .slice(run.sentEvents)
+      .map(event => [event.data, event.version]),
+    end: run.end,
+  };
+}
--- a/packages/core/src/calls/configuration.ts
+++ b/packages/core/src/calls/configuration.ts
@@ -46,6 +46,8 @@
   readonly slots: number;
   /** Memory for prompts and generated tokens, in tokens. */
   readonly memoryTokens: number;
+  /** Most tokens of one event of a stream. */
+  readonly tokensPerEvent: number;
   readonly models: readonly string[];
 }
 
--- a/packages/core/src/errors/error_kinds.ts
+++ b/packages/core/src/errors/error_kinds.ts
@@ -130,12 +130,30 @@
     retryAfterMs: RETRY_SOON_MS,
     summary: 'The endpoint ended its answer early.',
   },
+  'job-unknown': {
+    status: 502,
+    outcome: 'unknown',
+    retryAfterMs: RETRY_SOON_MS,
+    summary: 'Whether the batch job is kept is not known; submit it again.',
+  },
   'agent-lost': {
     status: 502,
     outcome: 'unknown',
     retryAfterMs: RETRY_SOON_MS,
     summary: 'The agent that held the request cannot be reached.',
   },
+  'peer-lost': {
+    status: 503,
+    outcome: 'unknown',
+    retryAfterMs: RETRY_SOON_MS,
+    summary: 'Another node of the system does not answer.',
+  },
+  'not-home': {
+    status: 503,
+    outcome: 'not-run',
+    retryAfterMs: RETRY_SOON_MS,
+    summary: 'The node is not, or not any more, the home of batch jobs.',
+  },
   overloaded: {
     status: 503,
     outcome: 'not-run',
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -98,6 +98,11 @@
     level: 'warn',
     meaning: 'An endpoint broke off the requests that it was running.',
   },
+  'run-stopped': {
+    number: 214,
+    level: 'info',
+    meaning: 'An agent broke a run off.',
+  },
   'peer-found': {
     number: 300,
     level: 'info',
@@ -123,6 +128,31 @@
     level: 'warn',
     meaning: 'A registration could not be read and names no endpoint.',
   },
+  'home-changed': {
+    number: 305,
+    level: 'info',
+    meaning: 'A node has learnt of a new home of batch jobs.',
+  },
+  'home-claimed': {
+    number: 306,
+    level: 'info',
+    meaning: 'This node has become the home of batch jobs.',
+  },
+  'home-lost': {
+    number: 307,
+    level: 'warn',
+    meaning: 'This node is not the home of batch jobs any more.',
+  },
+  'agent-found': {
+    number: 308,
+    level: 'info',
+    meaning: 'An agent answers the home.',
+  },
+  'agent-lost': {
+    number: 309,
+    level: 'warn',
+    meaning: 'An agent does not answer the home; its runs go elsewhere.',
+  },
   'rules-in-force': {
     number: 400,
     level: 'info',
@@ -178,6 +208,36 @@
     level: 'warn',
     meaning: 'A sample could not be generated or scored and is tried again.',
   },
+  'job-accepted': {
+    number: 510,
+    level: 'info',
+    meaning: 'A batch job was accepted and is kept.',
+  },
+  'job-ended': {
+    number: 511,
+    level: 'info',
+    meaning: 'A trainer has ended a batch job.',
+  },
+  'job-adopted': {
+    number: 512,
+    level: 'info',
+    meaning: 'A new home has taken up a batch job from the store.',
+  },
+  'results-listed': {
+    number: 513,
+    level: 'info',
+    meaning: 'Results have got their places in the log of a batch job.',
+  },
+  'job-refused': {
+    number: 514,
+    level: 'info',
+    meaning: 'A batch job was refused; no part of it runs.',
+  },
+  'item-started': {
+    number: 515,
+    level: 'debug',
+    meaning: 'The home sent an item of a batch job to an agent.',
+  },
   'version-published': {
     number: 600,
     level: 'info',
--- /dev/null
+++ b/packages/jobs/src/home_election_runner.ts
@@ -0,0 +1,204 @@
+/**
+ * Takes part in the election of the home of batch jobs: probes the home, asks
+ * agents when it is silent, and claims its place in the store.
+ */
+import {
+  Clock,
+  HomeRecord,
+  WITNESS_SCHEMA,
+  WitnessView,
+  decideElection,
+} from '@sassafrasspan/core';
+import {
+  CLUSTER_KIND,
+  ClusterWatch,
+  HOME_NAME,
+  HOME_SCHEMA,
+  PeerClient,
+} from '@sassafrasspan/peers';
+import type {ObjectCollections} from '@sassafrasspan/platform';
+import {EventLog, parseAddress, waitMs} from '@sassafrasspan/runtime';
+import {JOB_PATHS, PING_SCHEMA} from './job_messages';
+
+/** Time between probes of the home, in ms. */
+const PROBE_INTERVAL_MS = 200;
+/** Time for the answer to a probe, in ms. */
+const PROBE_TIMEOUT_MS = 250;
+/** Agents that are asked about a silent home. */
+const WITNESSES = 5;
+
+/** What a runner is built from. */
+export interface HomeElectionOptions {
+  readonly name: string;
+  readonly incarnation: string;
+  /** `host:port` for other nodes. */
+  readonly address: string;
+  readonly cluster: ClusterWatch;
+  readonly store: ObjectCollections;
+  readonly peers: PeerClient;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** Hears that this node has become the home. */
+  readonly onElected: (record: HomeRecord) => void;
+}
+
+/** A node's part in the election. */
+export class HomeElectionRunner {
+  private heardAtMs: number;
+  private heardEpoch = -1;
+  private isRefused = false;
+  private isDraining = false;
+
+  private constructor(private readonly options: HomeElectionOptions) {
+    this.heardAtMs = options.clock.readMonotonicMs();
+  }
+
+  /** Builds a runner. */
+  static create(options: HomeElectionOptions): HomeElectionRunner {
+    return new HomeElectionRunner(options);
+  }
+
+  /** Takes part for as long as the process lives. */
+  async run(): Promise<void> {
+    for (;;) {
+      await waitMs(PROBE_INTERVAL_MS);
+      if (this.options.cluster.hasListed()) await this.advance();
+    }
+  }
+
+  /** Claims nothing from now on. */
+  startDraining(): void {
+    this.isDraining = true;
+  }
+
+  /** Claims the home now, where the home itself hands it over. */
+  takeOver(): Promise<boolean> {
+    return this.claim();
+  }
+
+  private async advance(): Promise<void> {
+    const home = this.options.cluster.getHome()?.record;
+    this.noteEpoch(home);
+    if (home !== undefined && !this.isOwn(home)) await this.probe(home);
+    const step = this.decide(undefined);
+    if (step === 'claim') await this.claim();
+    if (step !== 'ask-witnesses') return;
+    const witnesses = await this.askWitnesses();
+    if (this.decide(witnesses) === 'claim') await this.claim();
+  }
+
+  private isOwn(home: HomeRecord): boolean {
+    return home.node === this.options.name;
+  }
+
+  /** A new home has its time to answer from when it is first heard of. */
+  private noteEpoch(home: HomeRecord | undefined): void {
+    const epoch = home?.epoch ?? 0;
+    if (epoch === this.heardEpoch) return;
+    this.heardEpoch = epoch;
+    this.heardAtMs = this.options.clock.readMonotonicMs();
+    this.isRefused = false;
+  }
+
+  private decide(witnesses: readonly WitnessView[] | undefined) {
+    const {cluster, name, incarnation, clock} = this.options;
+    const home = cluster.getHome()?.record;
+    return decideElection({
+      nowMs: clock.readMonotonicMs(),
+      ownName: name,
+      ownIncarnation: incarnation,
+      home,
+      heardAtMs: this.heardAtMs,
+      isRefused: this.isRefused,
+      rank: this.computeRank(home),
+      isDraining: this.isDraining,
+      witnesses,
+    });
+  }
+
+  private computeRank(home: HomeRecord | undefined): number {
+    const names = this.options.cluster
+      .listNodes('home')
+      .map(node => node.name)
+      .filter(name => name !== home?.node);
+    return Math.max(0, names.indexOf(this.options.name));
+  }
+
+  private async probe(home: HomeRecord): Promise<void> {
+    const address = parseAddress(home.address);
+    if (address === undefined) return;
+    const reply = await this.options.peers.call({
+      address,
+      path: JOB_PATHS.ping,
+      body: {},
+      schema: PING_SCHEMA,
+      timeoutMs: PROBE_TIMEOUT_MS,
+    });
+    if (reply.isOk() && reply.value.epoch >= home.epoch) {
+      this.heardAtMs = this.options.clock.readMonotonicMs();
+      this.isRefused = false;
+      return;
+    }
+    // A process that does not listen, or has forgotten that it is the home.
+    this.isRefused = reply.isOk() || reply.error.detail.startsWith('refused');
+  }
+
+  private async askWitnesses(): Promise<WitnessView[]> {
+    const {cluster, peers} = this.options;
+    const agents = cluster.listNodes('agent');
+    const first = Math.floor(Math.random() * agents.length);
+    const asked = [...agents.slice(first), ...agents.slice(0, first)];
+    const replies = await Promise.all(
+      asked.slice(0, WITNESSES).map(async agent => {
+        const address = parseAddress(agent.address);
+        if (address === undefined) return undefined;
+        const reply = await peers.call({
+          address,
+          path: '/agent/home',
+          body: {},
+          schema: WITNESS_SCHEMA,
+          timeoutMs: PROBE_TIMEOUT_MS,
+        });
+        return reply.isOk() ? reply.value : undefined;
+      }),
+    );
+    return replies.filter(reply => reply !== undefined);
+  }
+
+  private async claim(): Promise<boolean> {
+    const {name, incarnation, address, cluster, store, log} = this.options;
+    const known = cluster.getHome();
+    const epoch = (known?.record.epoch ?? 0) + 1;
+    const record: HomeRecord = {node: name, incarnation, address, epoch};
+    const written =
+      known === undefined
+        ? await store.createObject(CLUSTER_KIND, HOME_NAME, record)
+        : await store.replaceObject(
+            CLUSTER_KIND,
+            HOME_NAME,
+            record,
+            known.version,
+          );
+    if (written.isErr()) return this.readHome(record);
+    cluster.acceptHome({record, version: written.value.version});
+    log.writeEvent('home-claimed', {epoch, before: known?.record.node});
+    this.options.onElected(record);
+    return true;
+  }
+
+  /** Finds out who won; a lost answer may hide that this node did. */
+  private async readHome(wanted: HomeRecord): Promise<boolean> {
+    const {store, cluster} = this.options;
+    const found = await store.readObject(CLUSTER_KIND, HOME_NAME);
+    if (found.isErr() || found.value === undefined) return false;
+    const parsed = HOME_SCHEMA.safeParse(found.value.value);
+    if (!parsed.success) return false;
+    const record = parsed.data;
+    cluster.acceptHome({record, version: found.value.version});
+    const isOwn =
+      record.epoch === wanted.epoch &&
+      record.incarnation === wanted.incarnation;
+    if (isOwn) this.options.onElected(record);
+    return isOwn;
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job_messages.ts
@@ -0,0 +1,53 @@
+/** Calls about batch jobs, from entries to the home. */
+import {BATCH_JOB_SCHEMA, JOB_RESULT_SCHEMA} from '@sassafrasspan/core';
+import * as z from 'zod/mini';
+
+/** Paths of the calls. */
+export const JOB_PATHS = {
+  submit: '/home/submit',
+  read: '/home/read',
+  item: '/home/item',
+  end: '/home/end',
+  ping: '/home/ping',
+} as const;
+
+/** Schema of a submission. */
+export const SUBMIT_SCHEMA = z.object({job: BATCH_JOB_SCHEMA});
+
+/** Schema of an empty confirmation. */
+export const DONE_SCHEMA = z.object({});
+
+/** Schema of a read of results. */
+export const READ_SCHEMA = z.object({
+  jobId: z.string(),
+  /** First position to read. */
+  after: z.number(),
+  /** Time for which the call may wait for a result, in ms. */
+  waitMs: z.number(),
+});
+
+/** Schema of results from a position on. */
+export const RESULTS_SCHEMA = z.object({
+  /** Items of the job. */
+  total: z.number(),
+  results: z.array(JOB_RESULT_SCHEMA),
+});
+
+/** Schema of a read of an item's body. */
+export const ITEM_SCHEMA = z.object({jobId: z.string(), itemId: z.string()});
+
+/** Schema of an item's body, base64. */
+export const BODY_SCHEMA = z.object({body: z.string()});
+
+/** Schema of the end of a job. */
+export const END_SCHEMA = z.object({jobId: z.string()});
+
+/** Schema of the answer to a probe. */
+export const PING_SCHEMA = z.object({
+  /** Epoch of which the node is the home; 0 when it is not. */
+  epoch: z.number(),
+});
+
+export type ReadCall = z.infer<typeof READ_SCHEMA>;
+export type ResultsAnswer = z.infer<typeof RESULTS_SCHEMA>;
+export type ItemCall = z.infer<typeof ITEM_SCHEMA>;
--- /dev/null
+++ b/packages/peers/src/peer_client.ts
@@ -0,0 +1,97 @@
+/**
+ * Calls another node: JSON over a kept HTTP connection. The errors of the
+ * other node come back as they are; a node that does not answer is
+ * `peer-lost`, with whether the call may have reached it.
+ */
+import {ServiceError, createError, readErrorKind} from '@sassafrasspan/core';
+import {
+  HttpCaller,
+  HttpFault,
+  HttpReply,
+  PeerAddress,
+  parseJson,
+} from '@sassafrasspan/runtime';
+import {Result, err, ok} from 'neverthrow';
+import * as z from 'zod/mini';
+
+const JSON_HEADERS = {'content-type': 'application/json'};
+/** Time for a connection to another node, in ms: several round trips. */
+const CONNECT_TIMEOUT_MS = 250;
+
+/** Schema of an error that a node answers with. */
+export const PEER_ERROR_SCHEMA = z.object({
+  kind: z.string(),
+  detail: z.string(),
+  outcome: z.optional(z.enum(['not-run', 'ran', 'unknown'])),
+  retryAfterMs: z.optional(z.number()),
+});
+
+/** A call to a node. */
+export interface PeerCall<T> {
+  readonly address: PeerAddress;
+  readonly path: string;
+  readonly body: unknown;
+  readonly schema: z.ZodMiniType<T>;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Calls nodes. */
+export class PeerClient {
+  private readonly caller = HttpCaller.create();
+
+  private constructor() {}
+
+  /** Builds a client without connections. */
+  static create(): PeerClient {
+    return new PeerClient();
+  }
+
+  /** Makes a call. */
+  async call<T>(call: PeerCall<T>): Promise<Result<T, ServiceError>> {
+    const reply = await this.caller.call({
+      address: call.address,
+      method: 'POST',
+      path: call.path,
+      headers: JSON_HEADERS,
+      body: JSON.stringify(call.body),
+      timeoutMs: call.timeoutMs,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      signal: call.signal,
+    });
+    if (reply.isErr()) return err(convertFault(reply.error));
+    return decodeReply(call.schema, reply.value);
+  }
+
+  /** Closes every connection. */
+  close(): void {
+    this.caller.close();
+  }
+}
+
+function convertFault(fault: HttpFault): ServiceError {
+  const outcome = fault.isSent ? 'unknown' : 'not-run';
+  const detail = `${fault.reason}: ${fault.detail}`;
+  return createError('peer-lost', detail, {outcome});
+}
+
+function decodeReply<T>(
+  schema: z.ZodMiniType<T>,
+  reply: HttpReply,
+): Result<T, ServiceError> {
+  const value = parseJson(reply.body.toString('utf8'));
+  if (value.isErr()) return err(createError('peer-lost', value.error.detail));
+  if (reply.status !== 200) return err(decodeError(value.value));
+  const parsed = schema.safeParse(value.value);
+  if (parsed.success) return ok(parsed.data);
+  const issue = parsed.error.issues[0];
+  const detail = `answer: ${issue?.path.join('.')} ${issue?.message}`;
+  return err(createError('peer-lost', detail));
+}
+
+function decodeError(value: unknown): ServiceError {
+  const parsed = PEER_ERROR_SCHEMA.safeParse(value);
+  if (!parsed.success) return createError('peer-lost', 'unreadable error');
+  const {kind, detail, outcome, retryAfterMs} = parsed.data;
+  return createError(readErrorKind(kind), detail, {outcome, retryAfterMs});
+}
--- /dev/null
+++ b/packages/runs/src/weight_loader.ts
@@ -0,0 +1,136 @@
+/**
+ * Brings the engine beside an agent to a weight version. The agent is the only
+ * holder of its engine; its fencing number is won from the store, once a life,
+ * before the first order. An order whose answer was lost may be carried out
+ * seconds later, so that the engine's own report decides what follows.
+ */
+import type {Clock, LoadOrder} from '@sassafrasspan/core';
+import type {ObjectCollections} from '@sassafrasspan/platform';
+import type {EventLog} from '@sassafrasspan/runtime';
+import * as z from 'zod/mini';
+import type {EngineControl, EngineReport} from './engine_ports';
+
+const FENCING_KIND = 'fencing';
+/** Time before an order is given again after a failure, in ms. */
+const RETRY_MS = 250;
+/** Time for an order without an answer to be carried out, in ms; the platform
+ * states 2 to 12 s, but a version only grows, so that a late one is harmless
+ * and the wait only saves a second load. */
+const UNANSWERED_MS = 1_200;
+/** Time for an accepted order to show in the engine's report, in ms. */
+const ACCEPTED_MS = 5_000;
+
+const FENCING_SCHEMA = z.object({number: z.number(), holder: z.string()});
+
+/** What a loader is built from. */
+export interface WeightLoaderOptions {
+  /** Name of the agent's VM, which its number belongs to. */
+  readonly holder: string;
+  readonly control: EngineControl;
+  readonly store: ObjectCollections;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Loads weights into one engine. */
+export class WeightLoader {
+  private readonly wanted = new Map<string, LoadOrder>();
+  private fencingNumber: number | undefined;
+  private waitUntilMs = 0;
+  private isWorking = false;
+
+  private constructor(private readonly options: WeightLoaderOptions) {}
+
+  /** Builds a loader without orders. */
+  static create(options: WeightLoaderOptions): WeightLoader {
+    return new WeightLoader(options);
+  }
+
+  /** Takes an order of the home; a newer version replaces an older one. */
+  request(order: LoadOrder): void {
+    const known = this.wanted.get(order.model);
+    if (known !== undefined && known.version > order.version) return;
+    this.wanted.set(order.model, order);
+  }
+
+  /** Tells whether an order is not met yet. */
+  isPending(): boolean {
+    return this.wanted.size > 0;
+  }
+
+  /** Gives the next order, if the engine's report calls for one. */
+  async advance(report: EngineReport): Promise<void> {
+    for (const [model, order] of this.wanted) {
+      if ((report.versions[model] ?? 0) >= order.version) this.finish(order);
+    }
+    const order = this.wanted.values().next().value;
+    const nowMs = this.options.clock.readMonotonicMs();
+    if (order === undefined || report.isBusy || this.isWorking) return;
+    if (nowMs < this.waitUntilMs) return;
+    this.isWorking = true;
+    await this.give(order, report);
+    this.isWorking = false;
+  }
+
+  private finish(order: LoadOrder): void {
+    const {model, version} = order;
+    this.wanted.delete(model);
+    this.waitUntilMs = 0;
+    this.options.log.writeEvent('swap-finished', {model, version});
+  }
+
+  private async give(order: LoadOrder, report: EngineReport): Promise<void> {
+    const {control, holder, log} = this.options;
+    const number = this.fencingNumber ?? (await this.gainNumber());
+    if (number === undefined) return this.wait(RETRY_MS);
+    const {endpointId, model, version} = order;
+    const {orderSequence} = report;
+    log.writeEvent('swap-started', {endpoint: endpointId, model, version});
+    const answer = await control.orderVersion({
+      endpointId,
+      model,
+      version,
+      holder,
+      fencingNumber: number,
+      orderSequence,
+    });
+    if (answer.isErr()) {
+      const {detail} = answer.error;
+      log.writeEvent('swap-failed', {model, version, detail});
+      const mayHold = answer.error.outcome !== 'not-run';
+      return this.wait(mayHold ? UNANSWERED_MS : RETRY_MS);
+    }
+    if (answer.value === 'holds') return this.finish(order);
+    if (answer.value === 'accepted') return this.wait(ACCEPTED_MS);
+    log.writeEvent('swap-failed', {model, version, detail: answer.value});
+    if (answer.value === 'refused') this.wanted.delete(model);
+    this.wait(RETRY_MS);
+  }
+
+  private wait(delayMs: number): void {
+    this.waitUntilMs = this.options.clock.readMonotonicMs() + delayMs;
+  }
+
+  /** Wins a number above all earlier ones; undefined when that failed. */
+  private async gainNumber(): Promise<number | undefined> {
+    const {store, holder, log} = this.options;
+    const found = await store.readObject(FENCING_KIND, holder);
+    if (found.isErr()) return undefined;
+    const parsed = FENCING_SCHEMA.safeParse(found.value?.value);
+    const number = parsed.success ? parsed.data.number + 1 : 1;
+    const value = {number, holder};
+    const written =
+      found.value === undefined
+        ? await store.createObject(FENCING_KIND, holder, value)
+        : await store.replaceObject(
+            FENCING_KIND,
+            holder,
+            value,
+            found.value.version,
+          );
+    if (written.isErr()) return undefined;
+    this.fencingNumber = number;
+    log.writeEvent('fencing-gained', {endpoint: holder, number});
+    return number;
+  }
+}
--- a/packages/runtime/src/http_caller.ts
+++ b/packages/runtime/src/http_caller.ts
@@ -60,11 +60,7 @@
 
 /** Why a call has no whole answer. */
 export type HttpFaultReason =
-  | 'refused'
-  | 'unreachable'
-  | 'timeout'
-  | 'broken'
-  | 'cancelled';
+  'refused' | 'unreachable' | 'timeout' | 'broken' | 'cancelled';
 
 /** A call without a whole answer. */
 export interface HttpFault {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,3 +11,4 @@
 export * from './undici_errors';
 export * from './http_caller';
 export * from './bounded_output';
+export * from './event_stream';
