--- /dev/null
+++ b/packages/core/src/batch/carry_over.ts
@@ -0,0 +1,150 @@
+/**
+ * What ended batch jobs have left of their items: results, text, and runs that
+ * go on for a while. A trainer sends the groups that it did not see whole again
+ * in a later job, which starts from there if the versions fit. It always waits
+ * for such a group, so that it must be known even where nothing is left of it.
+ */
+import {BatchJob, JobResult, TextEvent, createResult} from './batch_types';
+import type {ItemState, JobState} from './job_state';
+import type {RunUpdate} from './run_messages';
+
+/** Items that are remembered; the oldest are dropped. */
+const MAX_ITEMS = 4_000;
+/** Time for which runs of an ended job go on, in ms: longer than trainers
+ * take between two steps, shorter than the bound on cancelling. */
+const LINGER_MS = 1_500;
+
+/** What is left of an item: its result, or the text of a run that ended. */
+interface LeftItem {
+  readonly result: JobResult | undefined;
+  readonly events: readonly TextEvent[];
+}
+
+const NOTHING_LEFT: LeftItem = {result: undefined, events: []};
+
+/** A run of an ended job. */
+export interface LingeringRun {
+  readonly runId: string;
+  readonly endpointId: string;
+  readonly itemId: string;
+  readonly events: TextEvent[];
+  readonly endsAtMs: number;
+}
+
+/** What ended jobs have left. */
+export class CarryOver {
+  private readonly items = new Map<string, LeftItem>();
+  private readonly runs = new Map<string, LingeringRun>();
+  private readonly runsByItem = new Map<string, LingeringRun>();
+
+  private constructor() {}
+
+  /** Builds an empty one. */
+  static create(): CarryOver {
+    return new CarryOver();
+  }
+
+  /** Keeps what a job that ends has of an item. */
+  leaveItem(state: ItemState, nowMs: number): void {
+    const {id} = state.item;
+    const {run, events, result} = state;
+    if (state.phase === 'running' && run !== undefined) {
+      const {runId, endpointId} = run;
+      const endsAtMs = nowMs + LINGER_MS;
+      const lingering = {runId, endpointId, itemId: id, events, endsAtMs};
+      this.runs.set(runId, lingering);
+      this.runsByItem.set(id, lingering);
+      return;
+    }
+    const isDone = result?.state === 'completed';
+    this.put(id, isDone ? {result, events: []} : {result: undefined, events});
+  }
+
+  /** Notes the items of a job that ended under an earlier home. */
+  learnJob(state: JobState): void {
+    for (const {item, result} of state.items.values()) {
+      if (this.items.has(item.id)) continue;
+      const isDone = result?.state === 'completed';
+      this.put(item.id, isDone ? {result, events: []} : NOTHING_LEFT);
+    }
+  }
+
+  /** Returns the groups of a job that an earlier one had. */
+  findGroups(job: BatchJob): Set<string> {
+    const known = job.items.filter(
+      item => this.items.has(item.id) || this.runsByItem.has(item.id),
+    );
+    return new Set(known.map(item => item.group));
+  }
+
+  /**
+   * Gives a new job what is left of its items. Returns the runs that go on for
+   * it, and those that are of no use to it.
+   */
+  adoptInto(state: JobState): {
+    attached: LingeringRun[];
+    useless: LingeringRun[];
+  } {
+    const attached: LingeringRun[] = [];
+    const useless: LingeringRun[] = [];
+    for (const id of state.items.keys()) {
+      const left = this.items.get(id);
+      this.items.delete(id);
+      if (left?.result !== undefined) state.adoptResult(left.result);
+      else if (left !== undefined) state.adoptText(id, left.events);
+      const run = this.runsByItem.get(id);
+      if (run === undefined) continue;
+      this.dropRun(run);
+      const isUsed = state.adoptText(id, run.events);
+      if (isUsed) attached.push(run);
+      else useless.push(run);
+    }
+    return {attached, useless};
+  }
+
+  /** Takes news of a run; false when it is not one of these. */
+  applyUpdate(update: RunUpdate): boolean {
+    const run = this.runs.get(update.runId);
+    if (run === undefined) return false;
+    const fresh = update.events.slice(run.events.length - update.from);
+    run.events.push(...fresh.map(([data, version]) => ({data, version})));
+    if (update.end !== undefined) {
+      this.finishRun(run.runId, update.end === 'completed');
+    }
+    return true;
+  }
+
+  /** Ends a run and keeps its text; false when it is not one of these. */
+  finishRun(runId: string, isWhole = false): boolean {
+    const run = this.runs.get(runId);
+    if (run === undefined) return false;
+    this.dropRun(run);
+    const {itemId, events} = run;
+    const result = isWhole ? createResult(itemId, events) : undefined;
+    this.put(itemId, {result, events: isWhole ? [] : events});
+    return true;
+  }
+
+  /** Ends the runs whose time is up. */
+  expireRuns(nowMs: number): LingeringRun[] {
+    const expired = [...this.runs.values()].filter(
+      run => run.endsAtMs <= nowMs,
+    );
+    for (const run of expired) this.finishRun(run.runId);
+    return expired;
+  }
+
+  private dropRun(run: LingeringRun): void {
+    this.runs.delete(run.runId);
+    this.runsByItem.delete(run.itemId);
+  }
+
+  private put(itemId: string, left: LeftItem): void {
+    this.items.delete(itemId);
+    this.items.set(itemId, left);
+    for (const oldest of this.items.keys()) {
+      if (this.items.size <= MAX_ITEMS) return;
+      this.items.delete(oldest);
+    }
+  }
+}
--- a/packages/core/src/batch/flush_decision.ts
+++ b/packages/core/src/batch/flush_decision.ts
@@ -6,13 +6,16 @@
 import type {JobState} from './job_state';
 
 /** Time for which results are collected, in ms. */
-const COLLECT_MS = 300;
+const COLLECT_MS = 900;
+/** Shorter time for it when the job's deadline is near or over, in ms. */
+const LATE_COLLECT_MS = 200;
 
 /** Returns the time until the next write, in ms; undefined for none. */
 export function computeFlushDelay(
   state: JobState,
   lastFlushAtMs: number,
   nowMs: number,
+  runDeadlineMs: number,
 ): number | undefined {
   let finished = 0;
   for (const item of state.items.values()) {
@@ -20,7 +23,10 @@
   }
   if (finished === 0) return undefined;
   if (isWholeEnough(state)) return 0;
-  return Math.max(0, lastFlushAtMs + COLLECT_MS - nowMs);
+  const deadlineAtMs = state.acceptedAtMs + runDeadlineMs;
+  const isLate = nowMs + COLLECT_MS > deadlineAtMs;
+  const collectMs = isLate ? LATE_COLLECT_MS : COLLECT_MS;
+  return Math.max(0, lastFlushAtMs + collectMs - nowMs);
 }
 
 /** Tells whether the trainer has what it waits for once all is listed. */
--- a/packages/core/src/batch/home_scheduler.ts
+++ b/packages/core/src/batch/home_scheduler.ts
@@ -3,52 +3,70 @@
  * the agents should do next. Everything that arrives is applied to it, and
  * `plan` returns the orders that follow.
  */
-import {BatchJob, JobItem, JobResult, RunEnd, TextEvent} from './batch_types';
-import {CarryStore} from './carry_store';
+import {BatchJob, JobResult, RunEnd} from './batch_types';
+import {CarryOver, LingeringRun} from './carry_over';
 import {ItemState, JobState} from './job_state';
 import {predictRemainingTokens} from './length_forecast';
-import {ModelDemand, assignModels, planLoads} from './load_plan';
+import {planModelLoads} from './model_loads';
+import {MovableRun, PlannedMove, planMoves} from './move_plan';
 import type {EngineState, LoadOrder, RunOrder, RunUpdate} from './run_messages';
 import {RunnerRegistration, RunnerState} from './runner_state';
-import {JobView, planStarts} from './start_plan';
+import {
+  ItemRank,
+  JobView,
+  PlannedStart,
+  Reservation,
+  canRunItem,
+  planStarts,
+} from './start_plan';
 
 /** Silence of a run after which it is tried elsewhere, in ms. */
 const STALL_MS = 2_500;
-/** Time for which runs of an ended job go on, so that a later job that has the
- * same items finds their text, in ms. */
-const LINGER_MS = 1_500;
+/** Time for which a place is kept for an item that moves, in ms: the agent of
+ * the endpoint before confirms within a few round trips. */
+const RESERVATION_MS = 400;
 /** Attempts that an endpoint may fail where the route states none. */
 const DEFAULT_MAX_FAILURES = 3;
+/** Time to the last result where no route states it, in ms. */
+const DEFAULT_RUN_DEADLINE_MS = 60_000;
+/** Rank of items at an endpoint, in the middle of its scale. */
+const ITEM_PRIORITY = 5;
 
 /** What the route of a job says of it. */
 export interface JobBounds {
   readonly service: string;
   readonly maxAttempts: number;
   readonly retentionMs: number;
+  /** Time from acceptance to the last result, in ms. */
+  readonly runDeadlineMs: number;
 }
 
 /** Finds the bounds of a job; undefined when its route is gone. */
 export type BoundsFinder = (job: BatchJob) => JobBounds | undefined;
 
+/** What decided a start. */
+export interface ItemStartReason {
+  readonly rank: ItemRank;
+  readonly remainingTokens: number;
+  /** Time for a token at the endpoint, in ms. */
+  readonly msPerToken: number;
+}
+
 /** Orders for one agent. */
 export interface RunnerOrders {
   readonly endpointId: string;
   readonly starts: RunOrder[];
+  /** Why each start was chosen, in the order of the starts. */
+  readonly reasons: ItemStartReason[];
   readonly stops: string[];
   readonly loads: LoadOrder[];
 }
 
-/** A run of a job that has ended. */
-interface LingeringRun {
-  readonly endpointId: string;
-  readonly itemId: string;
-  readonly events: TextEvent[];
-  readonly endsAtMs: number;
-}
-
 /** What a scheduler is built from. */
 export interface HomeSchedulerOptions {
   readonly findBounds: BoundsFinder;
+  /** Epoch of the home, its fencing number at engines. */
+  readonly epoch: number;
   /** Returns a name that no other run has. */
   readonly createRunId: () => string;
 }
@@ -58,10 +76,12 @@
   private readonly jobs = new Map<string, JobState>();
   private readonly runners = new Map<string, RunnerState>();
   private readonly newest = new Map<string, number>();
-  private readonly carried = CarryStore.create();
-  private readonly lingering = new Map<string, LingeringRun>();
-  private readonly stops = new Map<string, string>();
   private readonly work = new Map<string, number>();
+  private readonly carryOver = CarryOver.create();
+  /** Places that are kept for items on their way to a faster endpoint. */
+  private readonly reserved = new Map<string, Reservation>();
+  /** Endpoint of each run that is to be broken off. */
+  private readonly stops = new Map<string, string>();
 
   private constructor(private readonly options: HomeSchedulerOptions) {}
 
@@ -70,26 +90,11 @@
     return new HomeScheduler(options);
   }
 
-  /** Finds a job. */
-  findJob(id: string): JobState | undefined {
-    return this.jobs.get(id);
-  }
-
   /** Lists the jobs that have not ended. */
   listOpenJobs(): JobState[] {
     return [...this.jobs.values()].filter(job => !job.isEnded);
   }
 
-  /** Lists every job. */
-  listJobs(): JobState[] {
-    return [...this.jobs.values()];
-  }
-
-  /** Finds the endpoint of an agent's orders. */
-  findRunner(endpointId: string): RunnerState | undefined {
-    return this.runners.get(endpointId);
-  }
-
   /** Takes up an accepted job with the records that its log has. */
   openJob(
     job: BatchJob,
@@ -98,43 +103,39 @@
   ): JobState {
     const known = this.jobs.get(job.id);
     if (known !== undefined) return known;
-    const state = JobState.create(job, acceptedAtMs, this.findCarried(job));
+    const carried = this.carryOver.findGroups(job);
+    const state = JobState.create(job, acceptedAtMs, carried);
     for (const results of records) state.applyResults(results);
     this.jobs.set(job.id, state);
     this.work.set(job.model, job.items.length);
     this.setNewest(job.model, job.minVersion);
-    for (const item of job.items) this.adoptCarried(state, item);
+    const {attached, useless} = this.carryOver.adoptInto(state);
+    for (const run of attached) this.attachRun(state, run);
+    for (const run of useless) this.stopRun(run.runId, run.endpointId);
     return state;
   }
 
-  private findCarried(job: BatchJob): Set<string> {
-    const isKnown = (item: JobItem) =>
-      this.carried.has(item.id) ||
-      [...this.lingering.values()].some(run => run.itemId === item.id);
-    return new Set(job.items.filter(isKnown).map(item => item.group));
+  /** Goes on with a run of an earlier job. */
+  private attachRun(state: JobState, run: LingeringRun): void {
+    const {runId, endpointId, itemId} = run;
+    const followed = this.runners.get(endpointId)?.runs.get(runId);
+    const startedAtMs = followed?.startedAtMs ?? 0;
+    const itemRun = {runId, endpointId, startedAtMs, firstEvent: 0};
+    state.startRun(itemId, itemRun, startedAtMs);
+    if (followed !== undefined) followed.jobId = state.job.id;
   }
 
-  /** Gives a new job what an earlier one has left of its item. */
-  private adoptCarried(state: JobState, item: JobItem): void {
-    const text = this.carried.take(item.id);
-    if (text !== undefined) {
-      state.adoptText(item.id, text.events, text.isWhole);
-    }
-    for (const [runId, run] of this.lingering) {
-      if (run.itemId !== item.id) continue;
-      this.lingering.delete(runId);
-      if (!state.adoptText(item.id, run.events, false)) {
-        this.stops.set(runId, run.endpointId);
-        continue;
-      }
-      state.startRun(
-        item.id,
-        {runId, endpointId: run.endpointId, startedAtMs: 0, firstEvent: 0},
-        0,
-      );
-      const followed = this.runners.get(run.endpointId)?.runs.get(runId);
-      if (followed !== undefined) followed.jobId = state.job.id;
-    }
+  /** Takes up a job that has ended, for its readers only. */
+  restoreEnded(
+    job: BatchJob,
+    acceptedAtMs: number,
+    records: ReadonlyArray<readonly JobResult[]>,
+  ): JobState {
+    const state = JobState.create(job, acceptedAtMs);
+    for (const results of records) state.applyResults(results);
+    state.isEnded = true;
+    this.carryOver.learnJob(state);
+    return state;
   }
 
   /** Notes the newest version that a trainer has named. */
@@ -146,34 +147,24 @@
   /** Ends a job: nothing of it starts from now on. */
   endJob(id: string, nowMs: number): void {
     const state = this.jobs.get(id);
-    if (state === undefined || state.isEnded) return;
+    if (state === undefined) return;
+    this.jobs.delete(id);
     state.isEnded = true;
-    for (const item of state.items.values()) this.leaveItem(item, nowMs);
-  }
-
-  /** Keeps what an ended job has of an item for a later one. */
-  private leaveItem(item: ItemState, nowMs: number): void {
-    const {id} = item.item;
-    if (item.phase === 'listed') return;
-    if (item.phase === 'running' && item.run !== undefined) {
-      const {runId, endpointId} = item.run;
-      const endsAtMs = nowMs + LINGER_MS;
-      const events = item.events;
-      this.lingering.set(runId, {endpointId, itemId: id, events, endsAtMs});
-      return;
+    for (const item of state.items.values()) {
+      this.carryOver.leaveItem(item, nowMs);
     }
-    const isWhole =
-      item.phase === 'finished' && item.result?.state === 'completed';
-    this.carried.put(id, {events: item.events, isWhole});
   }
 
   /** Sets the endpoints that are registered. */
-  setRunners(registrations: readonly RunnerRegistration[]): void {
+  setRunners(
+    registrations: readonly RunnerRegistration[],
+    nowMs: number,
+  ): void {
     const ids = new Set(registrations.map(item => item.endpointId));
-    for (const [id, runner] of this.runners) {
+    for (const id of [...this.runners.keys()]) {
       if (ids.has(id)) continue;
-      this.loseRunner(id, 0);
-      if (runner.runs.size === 0) this.runners.delete(id);
+      this.loseRunner(id, nowMs);
+      this.runners.delete(id);
     }
     for (const registration of registrations) {
       const known = this.runners.get(registration.endpointId);
@@ -203,7 +194,7 @@
       const run = runner.runs.get(runId);
       if (run === undefined) continue;
       runner.runs.delete(runId);
-      this.stops.set(runId, endpointId);
+      this.stopRun(runId, endpointId);
       this.finishRun(runId, run.jobId, itemId, 'not-run', nowMs);
     }
   }
@@ -219,6 +210,9 @@
     if (runner === undefined) return;
     runner.isLinked = true;
     runner.applyEngine(engine, nowMs);
+    const counts = new Map<string, number>();
+    for (const {runId, events} of updates) counts.set(runId, events.length);
+    runner.measurePace(counts, nowMs);
     for (const update of updates) this.applyUpdate(runner, update, nowMs);
   }
 
@@ -228,24 +222,20 @@
     nowMs: number,
   ): void {
     const {runId, jobId, itemId, end} = update;
-    const events = update.events.map(([data, version]) => ({data, version}));
     const run = runner.runs.get(runId);
-    if (run !== undefined) runner.measureSpeed(run, events.length, nowMs);
-    const lingering = this.lingering.get(runId);
-    if (lingering !== undefined) {
-      this.applyLingering(runId, lingering, update, events);
-      if (end !== undefined) runner.runs.delete(runId);
-      return;
-    }
+    if (end !== undefined) runner.runs.delete(runId);
+    if (this.carryOver.applyUpdate(update)) return;
     const state = this.findJobOfRun(runId, jobId, itemId);
     if (state === undefined) return this.dropRun(runner, runId, end);
-    if (run === undefined && end === undefined) {
-      this.adoptRun(runner, state, update, nowMs);
-    }
+    if (run === undefined) this.adoptRun(runner, state, update, nowMs);
+    const events = update.events.map(([data, version]) => ({data, version}));
     const isFine = state.addEvents(itemId, runId, update.from, events, nowMs);
-    if (!isFine) return this.dropRun(runner, runId, end);
+    if (!isFine) {
+      this.dropRun(runner, runId, end);
+      state.endRun(itemId, runId, 'stopped', nowMs, DEFAULT_MAX_FAILURES);
+      return;
+    }
     if (end === undefined) return;
-    runner.runs.delete(runId);
     this.finishRun(runId, state.job.id, itemId, end, nowMs);
   }
 
@@ -256,14 +246,10 @@
     itemId: string,
   ): JobState | undefined {
     for (const state of this.jobs.values()) {
-      if (state.isEnded) continue;
       if (state.items.get(itemId)?.run?.runId === runId) return state;
     }
     const named = this.jobs.get(jobId);
-    const item = named?.items.get(itemId);
-    return named?.isEnded === false && item?.phase === 'waiting'
-      ? named
-      : undefined;
+    return named?.items.get(itemId)?.phase === 'waiting' ? named : undefined;
   }
 
   /** Goes on with a run that an earlier home has started. */
@@ -273,26 +259,13 @@
     update: RunUpdate,
     nowMs: number,
   ): void {
-    const {runId, itemId, endpointId, firstEvent, from} = update;
+    const {runId, itemId, endpointId, firstEvent, from, end} = update;
     const item = state.items.get(itemId);
     if (item?.phase !== 'waiting' || from !== 0) return;
     item.events = [];
     const run = {runId, endpointId, startedAtMs: nowMs, firstEvent};
     state.startRun(itemId, run, nowMs);
-    this.followRun(runner, state, item, runId, nowMs);
-  }
-
-  private applyLingering(
-    runId: string,
-    run: LingeringRun,
-    update: RunUpdate,
-    events: readonly TextEvent[],
-  ): void {
-    run.events.push(...events.slice(run.events.length - update.from));
-    if (update.end === undefined) return;
-    this.lingering.delete(runId);
-    const isWhole = update.end === 'completed';
-    this.carried.put(run.itemId, {events: run.events, isWhole});
+    if (end === undefined) this.followRun(runner, state, item, runId, nowMs);
   }
 
   private dropRun(
@@ -302,10 +275,15 @@
   ): void {
     runner.runs.delete(runId);
     if (end === undefined) {
-      this.stops.set(runId, runner.registration.endpointId);
+      this.stopRun(runId, runner.registration.endpointId);
     }
   }
 
+  private stopRun(runId: string, endpointId: string): void {
+    this.stops.set(runId, endpointId);
+    this.runners.get(endpointId)?.runs.delete(runId);
+  }
+
   private finishRun(
     runId: string,
     jobId: string,
@@ -313,12 +291,7 @@
     end: RunEnd,
     nowMs: number,
   ): void {
-    const lingering = this.lingering.get(runId);
-    if (lingering !== undefined) {
-      this.lingering.delete(runId);
-      this.carried.put(itemId, {events: lingering.events, isWhole: false});
-      return;
-    }
+    if (this.carryOver.finishRun(runId)) return;
     const state = this.jobs.get(jobId);
     if (state === undefined) return;
     const bounds = this.options.findBounds(state.job);
@@ -328,52 +301,64 @@
 
   /** Returns the orders that follow from the state. */
   plan(nowMs: number): RunnerOrders[] {
-    this.giveUpOld(nowMs);
-    this.expireLingering(nowMs);
+    this.expireJobs(nowMs);
+    for (const {runId, endpointId} of this.carryOver.expireRuns(nowMs)) {
+      this.stopRun(runId, endpointId);
+    }
     this.stopStalled(nowMs);
+    this.expireReservations(nowMs);
     const orders = new Map<string, RunnerOrders>();
     const open = (endpointId: string) => {
       const known = orders.get(endpointId);
       if (known !== undefined) return known;
-      const created = {endpointId, starts: [], stops: [], loads: []};
+      const created = {
+        endpointId,
+        starts: [],
+        reasons: [],
+        stops: [],
+        loads: [],
+      };
       orders.set(endpointId, created);
       return created;
     };
+    const jobs = this.listOpenJobs().map(state => this.describeJob(state));
+    const startItems = (ranks: readonly ItemRank[]) => {
+      const view = {jobs, runners: this.describeRunners(), nowMs, ranks};
+      for (const start of planStarts({...view, reserved: this.reserved})) {
+        const {rank, remainingTokens, msPerToken} = start;
+        open(start.endpointId).starts.push(this.startItem(start, nowMs));
+        open(start.endpointId).reasons.push({
+          rank,
+          remainingTokens,
+          msPerToken,
+        });
+      }
+    };
+    startItems(['carried', 'wanted']);
+    for (const {run} of this.planMoveOrders(jobs, nowMs)) {
+      open(run.endpointId).stops.push(run.runId);
+    }
+    startItems(['spare']);
     for (const [runId, endpointId] of this.stops) {
       open(endpointId).stops.push(runId);
     }
     this.stops.clear();
-    for (const start of this.planStartOrders(nowMs)) {
-      open(start.endpointId).starts.push(start);
-    }
     for (const load of this.planLoadOrders(nowMs)) {
       open(load.endpointId).loads.push(load);
     }
     return [...orders.values()];
   }
 
-  private giveUpOld(nowMs: number): void {
+  /** Gives up what is left of jobs whose time is over. */
+  private expireJobs(nowMs: number): void {
     for (const state of this.listOpenJobs()) {
       const bounds = this.options.findBounds(state.job);
       const endsAtMs = state.acceptedAtMs + (bounds?.retentionMs ?? Infinity);
       if (nowMs < endsAtMs) continue;
-      for (const item of state.items.values()) {
-        if (item.run !== undefined) {
-          this.stops.set(item.run.runId, item.run.endpointId);
-          this.runners.get(item.run.endpointId)?.runs.delete(item.run.runId);
-        }
+      for (const {run} of state.items.values()) {
+        if (run !== undefined) this.stopRun(run.runId, run.endpointId);
       }
-      state.giveUpRest();
-    }
-  }
-
-  private expireLingering(nowMs: number): void {
-    for (const [runId, run] of this.lingering) {
-      if (nowMs < run.endsAtMs) continue;
-      this.lingering.delete(runId);
-      this.carried.put(run.itemId, {events: run.events, isWhole: false});
-      this.stops.set(runId, run.endpointId);
-      this.runners.get(run.endpointId)?.runs.delete(runId);
+      state.abandonRest();
     }
   }
 
@@ -382,24 +367,55 @@
       for (const run of runner.runs.values()) {
         const sinceMs = run.progressAtMs ?? run.startedAtMs;
         if (nowMs - sinceMs < STALL_MS) continue;
-        runner.runs.delete(run.runId);
-        this.stops.set(run.runId, runner.registration.endpointId);
-        this.finishRun(run.runId, run.jobId, run.itemId, 'stopped', nowMs);
+        this.stopRun(run.runId, runner.registration.endpointId);
+        this.finishRun(run.runId, run.jobId, run.itemId, 'broken', nowMs);
       }
     }
   }
 
-  private planStartOrders(nowMs: number): RunOrder[] {
-    const jobs = this.listOpenJobs().map(state => this.viewJob(state));
+  /** Runs that are broken off; their items wait once the agent confirms it. */
+  private planMoveOrders(
+    jobs: readonly JobView[],
+    nowMs: number,
+  ): PlannedMove[] {
+    const views = this.describeRunners();
+    const moves = planMoves(jobs.flatMap(listMovableRuns), views);
+    for (const {run, targetId} of moves) {
+      const source = this.runners.get(run.endpointId);
+      const followed = source?.runs.get(run.runId);
+      if (followed === undefined) continue;
+      followed.isStopping = true;
+      this.reserved.set(followed.itemId, {
+        endpointId: targetId,
+        expiresAtMs: nowMs + RESERVATION_MS,
+      });
+    }
+    return moves;
+  }
+
+  /** Drops places that were kept for items which did not come. */
+  private expireReservations(nowMs: number): void {
+    for (const [itemId, {expiresAtMs}] of this.reserved) {
+      if (expiresAtMs <= nowMs) this.reserved.delete(itemId);
+    }
+  }
+
+  private describeRunners() {
     const models = [...this.newest.keys()];
-    const views = [...this.runners.values()].map(item => item.describe(models));
-    return planStarts(jobs, views, nowMs).map(({job, item, endpointId}) =>
-      this.startItem(job, item, endpointId, nowMs),
+    const reserved = [...this.reserved.values()];
+    return [...this.runners.values()].map(runner =>
+      runner.describe(
+        models,
+        reserved.filter(
+          item => item.endpointId === runner.registration.endpointId,
+        ).length,
+      ),
     );
   }
 
-  private viewJob(state: JobState): JobView {
-    const service = this.options.findBounds(state.job)?.service;
+  private describeJob(state: JobState): JobView {
+    const bounds = this.options.findBounds(state.job);
+    const service = bounds?.service;
     const runners = [...this.runners.values()].filter(
       runner => runner.registration.service === service,
     );
@@ -407,20 +423,21 @@
       state,
       endpointIds: new Set(runners.map(item => item.registration.endpointId)),
       tokensPerEvent: runners[0]?.registration.tokensPerEvent ?? 1,
+      runDeadlineMs: bounds?.runDeadlineMs ?? DEFAULT_RUN_DEADLINE_MS,
+      isStopping: (runId, endpointId) =>
+        this.runners.get(endpointId)?.runs.get(runId)?.isStopping ?? true,
     };
   }
 
-  private startItem(
-    state: JobState,
-    item: ItemState,
-    endpointId: string,
-    nowMs: number,
-  ): RunOrder {
+  private startItem(start: PlannedStart, nowMs: number): RunOrder {
+    const {job: state, item, endpointId} = start;
     const {job} = state;
+    const {id, path, headers, body} = item.item;
     const runId = this.options.createRunId();
     const firstEvent = item.events.length;
     const run = {runId, endpointId, startedAtMs: nowMs, firstEvent};
-    state.startRun(item.item.id, run, nowMs);
+    this.reserved.delete(id);
+    state.startRun(id, run, nowMs);
     const runner = this.runners.get(endpointId);
     if (runner !== undefined) {
       this.followRun(runner, state, item, runId, nowMs);
@@ -429,15 +446,15 @@
     return {
       runId,
       jobId: job.id,
-      itemId: item.item.id,
+      itemId: id,
       endpointId,
       host: job.host,
-      path: item.item.path,
-      headers: item.item.headers,
-      body: item.item.body,
+      path,
+      headers,
+      body,
       prior: item.events.map(event => [event.data, event.version]),
       leftMs: Math.max(1, state.acceptedAtMs + retentionMs - nowMs),
-      priority: 5,
+      priority: ITEM_PRIORITY,
     };
   }
 
@@ -457,54 +474,36 @@
       itemId: item.item.id,
       expectedMemory: item.item.promptTokens + made + remaining,
       progressAtMs: undefined,
+      countedAtMs: undefined,
       startedAtMs: nowMs,
+      isStopping: false,
     });
   }
 
   private planLoadOrders(nowMs: number): LoadOrder[] {
-    const demands = this.describeDemands();
-    const usable = [...this.runners.values()].filter(
-      runner => runner.isLinked && !runner.registration.isDraining,
-    );
-    const ids = usable.map(runner => runner.registration.endpointId).sort();
-    const shares = demands.map(({model}) => ({
-      model,
-      work: this.work.get(model) ?? 1,
-    }));
-    const assigned = assignModels(shares, ids);
-    const loads = planLoads(
-      demands,
-      usable.map(runner => ({
-        id: runner.registration.endpointId,
-        versions: new Map(
-          demands.map(({model}) => [model, runner.getVersion(model)]),
-        ),
-        isBusy: runner.isLoading(),
-        runs: runner.runs.size,
-        models: assigned.get(runner.registration.endpointId) ?? new Set(),
-      })),
-    );
-    for (const {endpointId, model, version} of loads) {
-      const runner = this.runners.get(endpointId);
-      if (runner === undefined) continue;
-      runner.pendingLoad = {model, version, orderedAtMs: nowMs};
-    }
-    return loads;
+    return planModelLoads({
+      newest: this.newest,
+      work: this.work,
+      jobs: this.listOpenJobs(),
+      runners: [...this.runners.values()],
+      nowMs,
+    }).map(load => ({...load, fencingNumber: this.options.epoch}));
   }
+}
 
-  private describeDemands(): ModelDemand[] {
-    const open = this.listOpenJobs();
-    return [...this.newest]
-      .map(([model, newest]) => ({
-        model,
-        newest,
-        minVersion: Math.max(
-          0,
-          ...open
-            .filter(state => state.job.model === model)
-            .map(state => state.job.minVersion),
-        ),
-      }))
-      .sort((a, b) => (a.model < b.model ? -1 : 1));
+/** Lists the runs of a job that could go on elsewhere. */
+function listMovableRuns(job: JobView): MovableRun[] {
+  const runs: MovableRun[] = [];
+  for (const item of job.state.items.values()) {
+    const {run} = item;
+    if (item.phase !== 'running' || run === undefined) continue;
+    if (job.isStopping(run.runId, run.endpointId)) continue;
+    runs.push({
+      runId: run.runId,
+      endpointId: run.endpointId,
+      remainingTokens: predictRemainingTokens(item, job.tokensPerEvent),
+      canRunAt: runner => canRunItem(job, item, runner),
+    });
   }
+  return runs;
 }
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -111,20 +111,26 @@
   }
 
   /** Takes over text that an earlier job has left of an item. */
-  adoptText(
-    itemId: string,
-    events: readonly TextEvent[],
-    isWhole: boolean,
-  ): boolean {
+  adoptText(itemId: string, events: readonly TextEvent[]): boolean {
     const state = this.items.get(itemId);
-    if (state?.phase !== 'waiting' || !this.fitsVersions(events)) return false;
+    const isWaiting = state?.phase === 'waiting';
+    if (!isWaiting || !this.hasFreshVersions(events)) return false;
     state.events = [...events];
-    if (isWhole) finishItem(state, createResult(itemId, events));
+    return true;
+  }
+
+  /** Takes over a result of an earlier job, if its versions fit. */
+  adoptResult(result: JobResult): boolean {
+    const state = this.items.get(result.itemId);
+    const {minVersion} = this.job;
+    const isFresh = result.versions.every(version => version >= minVersion);
+    if (state?.phase !== 'waiting' || !isFresh) return false;
+    finishItem(state, result);
     return true;
   }
 
   /** Tells whether text may be used: no event is of too old a version. */
-  fitsVersions(events: readonly TextEvent[]): boolean {
+  hasFreshVersions(events: readonly TextEvent[]): boolean {
     return events.every(event => event.version >= this.job.minVersion);
   }
 
@@ -152,7 +158,7 @@
     const state = this.items.get(itemId);
     if (state?.phase !== 'running' || state.run?.runId !== runId) return false;
     if (firstEvent > state.events.length) return false;
-    if (!this.fitsVersions(events)) return false;
+    if (!this.hasFreshVersions(events)) return false;
     const fresh = events.slice(state.events.length - firstEvent);
     if (fresh.length === 0) return true;
     state.events.push(...fresh);
@@ -221,7 +227,7 @@
   }
 
   /** Gives up items that have not ended; they are listed as dead. */
-  giveUpRest(): string[] {
+  abandonRest(): string[] {
     const given: string[] = [];
     for (const state of this.items.values()) {
       if (state.phase === 'finished' || state.phase === 'listed') continue;
--- a/packages/core/src/batch/run_book.ts
+++ b/packages/core/src/batch/run_book.ts
@@ -88,6 +88,15 @@
     return true;
   }
 
+  /** Tells whether the home has received everything. */
+  isReceived(): boolean {
+    return [...this.runs.values()].every(
+      run =>
+        run.receivedEvents === run.events.length &&
+        run.isEndReceived === (run.end !== undefined),
+    );
+  }
+
   /** Forgets runs whose results are safe. */
   release(runIds: readonly string[]): void {
     for (const runId of runIds) {
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -35,6 +35,8 @@
   endpointId: z.string(),
   model: z.string(),
   version: z.number(),
+  /** Epoch of the home that orders it, won from the store. */
+  fencingNumber: z.number(),
 });
 
 /** Schema of what a home tells an agent to do. */
--- a/packages/core/src/batch/runner_state.ts
+++ b/packages/core/src/batch/runner_state.ts
@@ -2,18 +2,10 @@
  * What a home knows of one endpoint that runs items: its agent, its engine, the
  * runs there, and how fast it generates.
  */
+import {PaceMeter} from './pace_meter';
 import type {EngineState} from './run_messages';
 import type {RunnerView} from './start_plan';
 
-/** Time for a token of one run alone before any was measured, in ms. */
-const INITIAL_MS_PER_TOKEN = 0.7;
-/** Weight of the newest measurement. */
-const SPEED_WEIGHT = 0.2;
-/** Cost of each run beside, as a share of a run alone. */
-const CROWDING_COST = 0.007;
-/** Bounds of a plausible measurement, in ms a token. */
-const MIN_MS_PER_TOKEN = 0.05;
-const MAX_MS_PER_TOKEN = 50;
 /** Time for an order to load to show in the engine's state, in ms. */
 const LOAD_TIMEOUT_MS = 6_000;
 
@@ -27,7 +19,11 @@
   expectedMemory: number;
   /** When its last event arrived; undefined before the first. */
   progressAtMs: number | undefined;
+  /** Up to when its time is counted; undefined before its first event. */
+  countedAtMs: number | undefined;
   readonly startedAtMs: number;
+  /** Whether it is being broken off, to go on elsewhere. */
+  isStopping: boolean;
 }
 
 /** An order to load that was given. */
@@ -56,7 +52,7 @@
   engine: EngineState | undefined;
   pendingLoad: PendingLoad | undefined;
   readonly runs = new Map<string, FollowedRun>();
-  msPerToken = INITIAL_MS_PER_TOKEN;
+  private readonly pace = PaceMeter.create();
 
   private constructor(registration: RunnerRegistration) {
     this.registration = registration;
@@ -88,20 +84,21 @@
     return this.pendingLoad !== undefined || this.engine?.isBusy === true;
   }
 
-  /** Learns from events of a run that came in some time. */
-  measureSpeed(run: FollowedRun, events: number, nowMs: number): void {
-    const sinceMs = run.progressAtMs;
-    run.progressAtMs = nowMs;
-    if (sinceMs === undefined || events === 0) return;
-    const tokens = events * this.registration.tokensPerEvent;
-    const crowding = 1 + CROWDING_COST * (this.runs.size - 1);
-    const measured = (nowMs - sinceMs) / tokens / crowding;
-    if (measured < MIN_MS_PER_TOKEN || measured > MAX_MS_PER_TOKEN) return;
-    this.msPerToken += SPEED_WEIGHT * (measured - this.msPerToken);
+  /** Learns how fast the runs go on from the events of an answer. */
+  measurePace(events: ReadonlyMap<string, number>, nowMs: number): void {
+    for (const run of this.runs.values()) {
+      const count = events.get(run.runId) ?? 0;
+      const sinceMs = run.countedAtMs;
+      if (count > 0) run.progressAtMs = nowMs;
+      if (count > 0 || sinceMs !== undefined) run.countedAtMs = nowMs;
+      if (sinceMs === undefined) continue;
+      const tokens = count * this.registration.tokensPerEvent;
+      this.pace.addRun(nowMs - sinceMs, tokens, this.runs.size - 1);
+    }
   }
 
-  /** Describes the endpoint for a plan of starts. */
-  describe(models: readonly string[]): RunnerView {
+  /** Describes the endpoint for plans, with places that are kept there. */
+  describe(models: readonly string[], reserved: number): RunnerView {
     const {endpointId, slots, memoryTokens, isDraining} = this.registration;
     let expectedMemory = 0;
     for (const run of this.runs.values()) expectedMemory += run.expectedMemory;
@@ -112,9 +109,9 @@
       memoryTokens,
       versions: new Map(models.map(model => [model, this.getVersion(model)])),
       isOpen: this.isLinked && isReachable && !isDraining && !this.isLoading(),
-      runs: this.runs.size,
+      runs: this.runs.size + reserved,
       expectedMemory,
-      msPerToken: this.msPerToken,
+      msPerToken: this.pace.getMsPerToken(),
     };
   }
 }
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -2,18 +2,22 @@
  * Decides which waiting items start at which endpoints.
  *
  * Answers this load: a step of many groups, of which the trainer needs most
- * but not all, with lengths of a long tail. Groups carried over from an earlier
- * step come first, then the groups that are expected to be whole earliest, as
- * many as are needed, and last the rest; within each, the longest items first,
- * so that no long one begins when the others end.
+ * but not all, with lengths of a long tail, beside the steps before it. Items of
+ * groups that the trainer will wait for come first: those carried over from an
+ * earlier step, and as many others as are needed, expected to be whole earliest.
+ * Among them goes first what must start earliest to be ready in time, so that
+ * no long item begins when the others end.
  */
 import {ItemState, JobState, GroupState, isSuspect} from './job_state';
 import {predictRemainingTokens} from './length_forecast';
+import {CROWDING_COST} from './pace_meter';
 
 /** Share of an endpoint's memory that the expected runs may fill. */
 const MEMORY_SHARE = 0.95;
-/** Cost of a run beside others, as a share of a run alone. */
-const CROWDING_COST = 0.007;
+
+/** Time for a token that deadlines are planned with, in ms: a usual engine that
+ * is full. */
+const USUAL_MS_PER_TOKEN = 0.72;
 
 /** An endpoint that runs items. */
 export interface RunnerView {
@@ -38,6 +42,28 @@
   /** Endpoints of the service that the job's route names. */
   readonly endpointIds: ReadonlySet<string>;
   readonly tokensPerEvent: number;
+  /** Time from acceptance to the last result, in ms. */
+  readonly runDeadlineMs: number;
+  /** Tells whether a run is being broken off. */
+  readonly isStopping: (runId: string, endpointId: string) => boolean;
+}
+
+/** A place kept for an item. */
+export interface Reservation {
+  readonly endpointId: string;
+  readonly expiresAtMs: number;
+}
+
+/** What a plan of starts looks at. */
+export interface StartView {
+  readonly jobs: readonly JobView[];
+  /** Endpoints; their runs include the places that are kept there. */
+  readonly runners: readonly RunnerView[];
+  /** Ranks of the items that may start. */
+  readonly ranks: readonly ItemRank[];
+  /** Places that are kept, by item. */
+  readonly reserved: ReadonlyMap<string, Reservation>;
+  readonly nowMs: number;
 }
 
 /** One start. */
@@ -45,16 +71,31 @@
   readonly job: JobState;
   readonly item: ItemState;
   readonly endpointId: string;
+  readonly rank: ItemRank;
+  /** Tokens that it is expected to still generate. */
+  readonly remainingTokens: number;
+  /** Time for a token of one run alone at the endpoint, in ms. */
+  readonly msPerToken: number;
 }
 
-/** Urgency of an item, the lowest first. */
-const RANKS = {carried: 0, wanted: 1, spare: 2} as const;
+/** Why an item starts: its group is from an earlier step, is among those that
+ * the trainer is expected to wait for, or is beyond them. */
+export type ItemRank = 'carried' | 'wanted' | 'spare';
+
+/** Urgency of a rank, the lowest first. */
+const URGENCIES: Readonly<Record<ItemRank, number>> = {
+  carried: 0,
+  wanted: 1,
+  spare: 2,
+};
 
 interface Candidate {
   readonly job: JobView;
   readonly item: ItemState;
-  readonly rank: number;
+  readonly rank: ItemRank;
   readonly remaining: number;
+  /** When it must start to be ready at the job's deadline. */
+  readonly latestStartMs: number;
 }
 
 interface RunnerLoad {
@@ -64,20 +105,24 @@
 }
 
 /** Returns the starts that are possible now, the most urgent first. */
-export function planStarts(
-  jobs: readonly JobView[],
-  runners: readonly RunnerView[],
-  nowMs: number,
-): PlannedStart[] {
-  const loads = runners
-    .filter(view => view.isOpen && view.runs < view.slots)
-    .map(view => ({view, runs: view.runs, memory: view.expectedMemory}));
-  if (loads.length === 0) return [];
-  const candidates = jobs.flatMap(job => listCandidates(job, nowMs));
+export function planStarts(view: StartView): PlannedStart[] {
+  const loads = view.runners
+    .filter(runner => runner.isOpen)
+    .map(runner => ({
+      view: runner,
+      runs: runner.runs,
+      memory: runner.expectedMemory,
+    }));
+  const hasPlace = loads.some(load => load.runs < load.view.slots);
+  if (!hasPlace && view.reserved.size === 0) return [];
+  const candidates = view.jobs
+    .flatMap(job => listCandidates(job, view.nowMs))
+    .filter(candidate => view.ranks.includes(candidate.rank));
   candidates.sort(compareCandidates);
   const starts: PlannedStart[] = [];
   for (const candidate of candidates) {
-    const load = chooseRunner(candidate, loads);
+    const load =
+      takeReserved(candidate, loads, view) ?? chooseRunner(candidate, loads);
     if (load === undefined) continue;
     load.runs += 1;
     load.memory += countMemory(candidate);
@@ -85,13 +130,21 @@
       job: candidate.job.state,
       item: candidate.item,
       endpointId: load.view.id,
+      rank: candidate.rank,
+      remainingTokens: candidate.remaining,
+      msPerToken: load.view.msPerToken,
     });
   }
   return starts;
 }
 
+/** What must start earliest to be ready in time goes first. */
 function compareCandidates(a: Candidate, b: Candidate): number {
-  return a.rank - b.rank || b.remaining - a.remaining;
+  return (
+    Number(a.rank === 'spare') - Number(b.rank === 'spare') ||
+    a.latestStartMs - b.latestStartMs ||
+    URGENCIES[a.rank] - URGENCIES[b.rank]
+  );
 }
 
 function listCandidates(job: JobView, nowMs: number): Candidate[] {
@@ -109,14 +162,24 @@
         job,
         item,
         rank: rankGroup(group, wanted),
-        remaining: predictRemainingTokens(item, job.tokensPerEvent),
+        ...forecastItem(job, item),
       })),
   );
 }
 
-function rankGroup(group: GroupState, wanted: ReadonlySet<GroupState>): number {
-  if (group.isCarried) return RANKS.carried;
-  return wanted.has(group) ? RANKS.wanted : RANKS.spare;
+function forecastItem(job: JobView, item: ItemState) {
+  const remaining = predictRemainingTokens(item, job.tokensPerEvent);
+  const deadlineMs = job.state.acceptedAtMs + job.runDeadlineMs;
+  const latestStartMs = deadlineMs - remaining * USUAL_MS_PER_TOKEN;
+  return {remaining, latestStartMs};
+}
+
+function rankGroup(
+  group: GroupState,
+  wanted: ReadonlySet<GroupState>,
+): ItemRank {
+  if (group.isCarried) return 'carried';
+  return wanted.has(group) ? 'wanted' : 'spare';
 }
 
 /** Selects the groups expected to be whole first, as many as are needed. */
@@ -148,6 +211,21 @@
   return item.item.promptTokens + made + remaining;
 }
 
+/** Frees the place that is kept for an item, for it to take. */
+function takeReserved(
+  candidate: Candidate,
+  loads: readonly RunnerLoad[],
+  view: StartView,
+): RunnerLoad | undefined {
+  const reservation = view.reserved.get(candidate.item.item.id);
+  const load = loads.find(item => item.view.id === reservation?.endpointId);
+  if (load === undefined) return undefined;
+  load.runs -= 1;
+  if (canRunItem(candidate.job, candidate.item, load.view)) return load;
+  load.runs += 1;
+  return undefined;
+}
+
 /** Chooses the endpoint where the item is expected to end first. */
 function chooseRunner(
   candidate: Candidate,
@@ -167,17 +245,26 @@
   return best;
 }
 
+/** Tells whether an endpoint may go on with an item by service and version. */
+export function canRunItem(
+  job: JobView,
+  item: ItemState,
+  runner: RunnerView,
+): boolean {
+  if (!job.endpointIds.has(runner.id)) return false;
+  const {model, minVersion} = job.state.job;
+  const version = runner.versions.get(model) ?? 0;
+  const newestText = item.events.at(-1)?.version ?? 0;
+  return version >= Math.max(minVersion, newestText);
+}
+
 function canRun(
   {job, item}: Candidate,
   load: RunnerLoad,
   needed: number,
 ): boolean {
   const {view} = load;
-  if (load.runs >= view.slots || !job.endpointIds.has(view.id)) return false;
-  const {model, minVersion} = job.state.job;
-  const version = view.versions.get(model) ?? 0;
-  const newestText = item.events.at(-1)?.version ?? 0;
-  if (version < Math.max(minVersion, newestText)) return false;
+  if (load.runs >= view.slots || !canRunItem(job, item, view)) return false;
   const limit = view.memoryTokens * MEMORY_SHARE;
   return load.runs === 0 || load.memory + needed <= limit;
 }
--- a/packages/core/src/errors/error_kinds.ts
+++ b/packages/core/src/errors/error_kinds.ts
@@ -148,6 +148,12 @@
     retryAfterMs: RETRY_SOON_MS,
     summary: 'Another node of the system does not answer.',
   },
+  'peer-absent': {
+    status: 503,
+    outcome: 'not-run',
+    retryAfterMs: RETRY_SOON_MS,
+    summary: 'Nobody listens at the address of another node.',
+  },
   'not-home': {
     status: 503,
     outcome: 'not-run',
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -50,7 +50,7 @@
   },
   'request-dispatched': {
     number: 201,
-    level: 'debug',
+    level: 'info',
     meaning: 'A request was sent to an agent.',
   },
   'request-retried': {
@@ -60,7 +60,7 @@
   },
   'request-answered': {
     number: 203,
-    level: 'debug',
+    level: 'info',
     meaning: 'A whole answer went out.',
   },
   'request-failed': {
@@ -80,7 +80,7 @@
   },
   'run-started': {
     number: 210,
-    level: 'debug',
+    level: 'info',
     meaning: 'An agent handed a request to its endpoint.',
   },
   'run-refused': {
@@ -90,7 +90,7 @@
   },
   'run-ended': {
     number: 212,
-    level: 'debug',
+    level: 'info',
     meaning: 'An endpoint has ended its answer.',
   },
   'endpoint-crashed': {
@@ -235,7 +235,7 @@
   },
   'item-started': {
     number: 515,
-    level: 'debug',
+    level: 'info',
     meaning: 'The home sent an item of a batch job to an agent.',
   },
   'version-published': {
@@ -273,6 +273,16 @@
     level: 'warn',
     meaning: 'The object API does not answer.',
   },
+  'store-path-up': {
+    number: 702,
+    level: 'info',
+    meaning: 'The node reaches the object API on its own path again.',
+  },
+  'store-call-relayed': {
+    number: 703,
+    level: 'info',
+    meaning: 'Another node made a call on the object API for this one.',
+  },
   'platform-up': {
     number: 701,
     level: 'info',
--- a/packages/core/src/fleet/endpoint_directory.ts
+++ b/packages/core/src/fleet/endpoint_directory.ts
@@ -100,12 +100,17 @@
     return entry?.isDraining === false ? entry : undefined;
   }
 
-  /** Finds an endpoint by its address, draining or not. */
+  /**
+   * Finds the endpoint at an address, draining or not: the one that started
+   * last, since a crashed one stays registered for a while.
+   */
   findByAddress(address: string): EndpointEntry | undefined {
+    let newest: EndpointEntry | undefined;
     for (const {entry, isLapsed} of this.known.values()) {
-      if (entry.address === address && !isLapsed) return entry;
+      if (entry.address !== address || isLapsed) continue;
+      if (newest === undefined || entry.bornMs > newest.bornMs) newest = entry;
     }
-    return undefined;
+    return newest;
   }
 
   /** Lists the endpoints of a service that may get new work. */
--- a/packages/jobs/src/agent_link.ts
+++ b/packages/jobs/src/agent_link.ts
@@ -123,7 +123,8 @@
     if (reply.isErr()) {
       this.releases.unshift(...releases);
       this.checkSuperseded(reply.error);
-      const isSilent = nowMs - this.heardAtMs > LOST_MS;
+      const isAbsent = reply.error.kind === 'peer-absent';
+      const isSilent = isAbsent || nowMs - this.heardAtMs > LOST_MS;
       if (isSilent && !this.isLost) {
         this.isLost = true;
         this.options.onLost(reply.error.detail);
--- a/packages/jobs/src/home_election_runner.ts
+++ b/packages/jobs/src/home_election_runner.ts
@@ -18,12 +18,14 @@
 } from '@sassafrasspan/peers';
 import type {ObjectCollections} from '@sassafrasspan/platform';
 import {EventLog, parseAddress, waitMs} from '@sassafrasspan/runtime';
-import {JOB_PATHS, PING_SCHEMA} from './job_messages';
+import {JOB_PATHS, PING_SCHEMA, TAKEN_OVER_SCHEMA} from './job_messages';
 
 /** Time between probes of the home, in ms. */
 const PROBE_INTERVAL_MS = 200;
 /** Time for the answer to a probe, in ms. */
 const PROBE_TIMEOUT_MS = 250;
+/** Time for another node to take over, in ms. */
+const HAND_OVER_TIMEOUT_MS = 700;
 /** Agents that are asked about a silent home. */
 const WITNESSES = 5;
 
@@ -72,8 +74,26 @@
   }
 
   /** Claims the home now, where the home itself hands it over. */
-  takeOver(): Promise<boolean> {
-    return this.claim();
+  async takeOver(): Promise<boolean> {
+    return !this.isDraining && (await this.claim());
+  }
+
+  /** Asks other nodes to take over; returns the one that did. */
+  async handOver(): Promise<string | undefined> {
+    const {cluster, peers, name} = this.options;
+    for (const node of cluster.listNodes('home')) {
+      const address = parseAddress(node.address);
+      if (node.name === name || address === undefined) continue;
+      const reply = await peers.call({
+        address,
+        path: JOB_PATHS.takeOver,
+        body: {},
+        schema: TAKEN_OVER_SCHEMA,
+        timeoutMs: HAND_OVER_TIMEOUT_MS,
+      });
+      if (reply.isOk() && reply.value.isDone) return node.name;
+    }
+    return undefined;
   }
 
   private async advance(): Promise<void> {
@@ -140,7 +160,7 @@
       return;
     }
     // A process that does not listen, or has forgotten that it is the home.
-    this.isRefused = reply.isOk() || reply.error.detail.startsWith('refused');
+    this.isRefused = reply.isOk() || reply.error.kind === 'peer-absent';
   }
 
   private async askWitnesses(): Promise<WitnessView[]> {
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -15,6 +15,7 @@
   ServiceError,
   SyncAnswer,
   createError,
+  restoreProgress,
 } from '@sassafrasspan/core';
 import type {PeerClient} from '@sassafrasspan/peers';
 import {
@@ -22,15 +23,19 @@
   Metrics,
   PeerAddress,
   formatAddress,
+  waitMs,
 } from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {AgentLink} from './agent_link';
 import type {JobLedger, KeptJob} from './job_ledger';
 import type {ItemCall, ReadCall, ResultsAnswer} from './job_messages';
 import {JobWriter} from './job_writer';
+import {ProgressWriter} from './progress_writer';
 
 /** Time between plans when nothing happens, in ms. */
 const PLAN_INTERVAL_MS = 50;
+/** Time before an end that the store did not take is written again, in ms. */
+const END_RETRY_MS = 500;
 /** Largest text of one answer to a read, in characters. */
 const MAX_ANSWER_CHARACTERS = 400_000;
 
@@ -59,6 +64,7 @@
 interface ServedJob {
   readonly state: JobState;
   readonly writer: JobWriter;
+  readonly progress: ProgressWriter;
   readonly waiters: Set<() => void>;
 }
 
@@ -86,6 +92,9 @@
     string,
     Promise<Result<object, ServiceError>>
   >();
+  /** Jobs whose end the store does not know yet. */
+  private readonly unkeptEnds = new Set<string>();
+  private isStopped = false;
   private runCount = 0;
   private isPlanned = false;
   private timer: NodeJS.Timeout | undefined;
@@ -93,6 +102,7 @@
   private constructor(private readonly options: HomeNodeOptions) {
     this.scheduler = HomeScheduler.create({
       findBounds: options.findBounds,
+      epoch: options.epoch,
       createRunId: () => `${options.epoch}.${(this.runCount += 1)}`,
     });
   }
@@ -104,18 +114,25 @@
 
   /** Takes up the jobs that the store keeps. */
   async start(): Promise<Result<void, ServiceError>> {
-    const kept = await this.options.ledger.readAll();
-    if (kept.isErr()) return err(kept.error);
-    const jobs = [...kept.value].sort(
-      (a, b) => a.job.acceptedAtMs - b.job.acceptedAtMs,
+    const headers = await this.options.ledger.listJobs();
+    if (headers.isErr()) return err(headers.error);
+    const open = headers.value
+      .filter(header => !header.isEnded)
+      .sort((a, b) => a.acceptedAtMs - b.acceptedAtMs);
+    const jobs = await Promise.all(
+      open.map(header => this.options.ledger.readJob(header.id)),
     );
-    for (const job of jobs) this.serveJob(job);
+    for (const job of jobs) {
+      if (job.isErr()) return err(job.error);
+      if (job.value !== undefined) this.serveJob(job.value);
+    }
     this.timer = setInterval(() => this.planNow(), PLAN_INTERVAL_MS);
     return ok(undefined);
   }
 
   /** Stops at once; runs go on at the agents. */
   stop(): void {
+    this.isStopped = true;
     clearInterval(this.timer);
     for (const {link} of this.agents.values()) link.stop();
     for (const {writer, waiters} of this.jobs.values()) {
@@ -131,7 +148,10 @@
 
   /** Sets the agents and their endpoints. */
   setAgents(entries: readonly AgentEntry[]): void {
-    this.scheduler.setRunners(entries.map(entry => entry.registration));
+    this.scheduler.setRunners(
+      entries.map(entry => entry.registration),
+      this.readMs(),
+    );
     const ids = new Set(entries.map(item => item.registration.endpointId));
     for (const [id, agent] of this.agents) {
       if (ids.has(id)) continue;
@@ -180,7 +200,8 @@
       minVersion: job.minVersion,
       epoch: this.options.epoch,
     });
-    this.serveJob({job, records: []});
+    const progress = {items: []};
+    this.serveJob({job, records: [], isEnded: false, progress});
     this.planNow();
     return ok({});
   }
@@ -217,13 +238,26 @@
   async end(jobId: string): Promise<Result<object, ServiceError>> {
     const served = await this.findJob(jobId);
     if (served.isErr()) return err(served.error);
-    const {state, writer} = served.value;
-    if (!state.isEnded) {
+    if (!served.value.state.isEnded) {
       this.scheduler.endJob(jobId, this.readMs());
+      this.reportEnd(served.value);
       this.requestPlan();
     }
-    await writer.end();
-    return ok({});
+    const ended = await this.options.ledger.endJob(jobId);
+    if (ended.isErr()) void this.repeatEnd(jobId);
+    return ended.map(() => ({}));
+  }
+
+  /** Marks an end in the store until that is done, whoever asked for it. */
+  private async repeatEnd(jobId: string): Promise<void> {
+    if (this.unkeptEnds.has(jobId)) return;
+    this.unkeptEnds.add(jobId);
+    while (!this.isStopped) {
+      await waitMs(END_RETRY_MS);
+      const ended = await this.options.ledger.endJob(jobId);
+      if (ended.isOk() || ended.error.kind === 'not-found') break;
+    }
+    this.unkeptEnds.delete(jobId);
   }
 
   private readMs(): number {
@@ -246,34 +280,35 @@
 
   private serveJob(kept: KeptJob): ServedJob {
     const {job, records} = kept;
-    const ageMs = Math.max(
-      0,
-      this.options.clock.readWallMs() - job.acceptedAtMs,
-    );
-    const state = this.scheduler.openJob(
-      job,
-      this.readMs() - ageMs,
-      records.map(record => record.results),
-    );
+    const {clock} = this.options;
+    const ageMs = Math.max(0, clock.readWallMs() - job.acceptedAtMs);
+    const acceptedAtMs = this.readMs() - ageMs;
+    const results = records.map(record => record.results);
+    const state = kept.isEnded
+      ? this.scheduler.restoreEnded(job, acceptedAtMs, results)
+      : this.scheduler.openJob(job, acceptedAtMs, results);
     const waiters = new Set<() => void>();
     const writer = JobWriter.create({
       state,
       ledger: this.options.ledger,
       writer: `${this.options.name}/${this.options.incarnation}`,
+      findRunDeadline: () =>
+        this.options.findBounds(job)?.runDeadlineMs ?? Infinity,
       clock: this.options.clock,
       log: this.options.log,
       onListed: results => {
         for (const {itemId} of results) this.releaseRun(itemId);
         for (const wake of waiters) wake();
       },
-      onEnded: () => this.noteEnd(job.id),
     });
-    const served = {state, writer, waiters};
+    if (!kept.isEnded) restoreProgress(state, kept.progress);
+    const progress = ProgressWriter.create({
+      state,
+      ledger: this.options.ledger,
+      clock,
+    });
+    const served = {state, writer, progress, waiters};
     this.jobs.set(job.id, served);
-    if (records.some(record => record.isEnd)) {
-      writer.markEnded();
-      this.scheduler.endJob(job.id, this.readMs());
-    }
     if (records.length > 0) {
       const fields = {requestId: job.id, results: state.results.length};
       this.options.log.writeEvent('job-adopted', fields);
@@ -281,16 +316,15 @@
     return served;
   }
 
-  private noteEnd(jobId: string): void {
-    this.scheduler.endJob(jobId, this.readMs());
-    const served = this.jobs.get(jobId);
-    for (const id of served?.state.items.keys() ?? []) this.releaseRun(id);
+  private reportEnd(served: ServedJob): void {
+    const {state, waiters} = served;
+    for (const id of state.items.keys()) this.releaseRun(id);
     this.options.log.writeEvent('job-ended', {
-      requestId: jobId,
-      results: served?.state.results.length,
-      groups: served?.state.countWholeGroups(),
+      requestId: state.job.id,
+      results: state.results.length,
+      groups: state.countWholeGroups(),
     });
-    for (const wake of served?.waiters ?? []) wake();
+    for (const wake of waiters) wake();
   }
 
   private linkAgent(entry: AgentEntry): void {
@@ -365,11 +399,31 @@
 
   private planNow(): void {
     this.isPlanned = false;
+    for (const {state, progress} of this.jobs.values()) {
+      if (!state.isEnded) void progress.advance();
+    }
     for (const orders of this.scheduler.plan(this.readMs())) {
+      this.reportOrders(orders);
       void this.sendOrders(orders);
     }
   }
 
+  private reportOrders(orders: RunnerOrders): void {
+    const {log, epoch} = this.options;
+    for (const [index, start] of orders.starts.entries()) {
+      const {itemId, jobId, runId, endpointId, prior} = start;
+      log.writeEvent('item-started', {
+        requestId: itemId,
+        job: jobId,
+        run: runId,
+        endpoint: endpointId,
+        firstEvent: prior.length,
+        epoch,
+        ...orders.reasons[index],
+      });
+    }
+  }
+
   private async sendOrders(orders: RunnerOrders): Promise<void> {
     const agent = this.agents.get(orders.endpointId);
     const isSent = (await agent?.link.send(orders)) ?? false;
@@ -384,10 +438,10 @@
 /** Waits until a job has a new result or has ended, at most for a time. */
 function waitForResult(
   served: ServedJob,
-  waitMs: number,
+  limitMs: number,
   signal: AbortSignal,
 ): Promise<void> {
-  if (waitMs <= 0) return Promise.resolve();
+  if (limitMs <= 0) return Promise.resolve();
   return new Promise(resolve => {
     const finish = () => {
       clearTimeout(timer);
@@ -395,7 +449,7 @@
       signal.removeEventListener('abort', finish);
       resolve();
     };
-    const timer = setTimeout(finish, waitMs);
+    const timer = setTimeout(finish, limitMs);
     served.waiters.add(finish);
     signal.addEventListener('abort', finish, {once: true});
   });
--- a/packages/jobs/src/job_client.ts
+++ b/packages/jobs/src/job_client.ts
@@ -6,12 +6,13 @@
 import {
   BatchJob,
   Clock,
+  RandomSource,
   ServiceError,
   createError,
   getErrorAnswer,
 } from '@sassafrasspan/core';
-import type {ClusterWatch, PeerClient} from '@sassafrasspan/peers';
-import {parseAddress, waitMs} from '@sassafrasspan/runtime';
+import {ClusterWatch, PeerClient, relayPeerCall} from '@sassafrasspan/peers';
+import {PeerAddress, parseAddress, waitMs} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import type * as z from 'zod/mini';
 import type {JobLedger} from './job_ledger';
@@ -19,6 +20,7 @@
   BODY_SCHEMA,
   DONE_SCHEMA,
   JOB_PATHS,
+  PING_SCHEMA,
   RESULTS_SCHEMA,
   ReadCall,
   ResultsAnswer,
@@ -35,8 +37,21 @@
 const READ_PATIENCE_MS = 1_100;
 /** Time that the end of a job may take, in ms. */
 const END_PATIENCE_MS = 3_000;
+/** Times that a home is told of a job that an entry has kept; each takes up to
+ * the patience of a read. */
+const NOTIFY_ATTEMPTS = 20;
+/** Least time for a call to the home, in ms. */
+const MIN_CALL_MS = 50;
+/** Time for the answer to a probe, in ms. */
+const PING_TIMEOUT_MS = 250;
+/** Time for which a home that is not reached is called through others, in ms. */
+const CUT_MS = 2_000;
 /** Errors after which another node may be the home. */
-const MOVED_KINDS: ReadonlySet<string> = new Set(['peer-lost', 'not-home']);
+const MOVED_KINDS: ReadonlySet<string> = new Set([
+  'peer-lost',
+  'peer-absent',
+  'not-home',
+]);
 
 /** What a client is built from. */
 export interface JobClientOptions {
@@ -44,12 +59,14 @@
   readonly peers: PeerClient;
   readonly ledger: JobLedger;
   readonly clock: Clock;
+  readonly random: RandomSource;
 }
 
 /** A call to the home. */
 interface HomeCall<T> {
   readonly path: string;
-  readonly body: unknown;
+  /** Builds the body for the time that the home may wait, in ms. */
+  readonly createBody: (waitMs: number) => unknown;
   readonly schema: z.ZodMiniType<T>;
   /** Time that the home may keep the call waiting, in ms. */
   readonly waitMs: number;
@@ -60,6 +77,9 @@
 
 /** Batch jobs as entries see them. */
 export class JobClient {
+  /** Up to when the home is called through other nodes. */
+  private cutUntilMs = -Infinity;
+
   private constructor(private readonly options: JobClientOptions) {}
 
   /** Builds a client. */
@@ -74,7 +94,7 @@
   ): Promise<Result<object, ServiceError>> {
     const reply = await this.callHome({
       path: JOB_PATHS.submit,
-      body: {job},
+      createBody: () => ({job}),
       schema: DONE_SCHEMA,
       waitMs: 0,
       endsAtMs: this.readMs() + SUBMIT_PATIENCE_MS,
@@ -82,7 +102,10 @@
     });
     if (reply.isOk()) return reply;
     const created = await this.options.ledger.createJob(job);
-    if (created.isOk()) return ok({});
+    if (created.isOk()) {
+      void this.notifyHome(job.id);
+      return ok({});
+    }
     const outcomes = [reply.error, created.error].map(
       error => getErrorAnswer(error).outcome,
     );
@@ -92,6 +115,16 @@
     return err(createError('job-unknown', created.error.detail));
   }
 
+  /** Makes the next home take up a job that this entry has kept. */
+  private async notifyHome(jobId: string): Promise<void> {
+    const {signal} = new AbortController();
+    for (let attempt = 0; attempt < NOTIFY_ATTEMPTS; attempt++) {
+      const seen = await this.read({jobId, after: 0, waitMs: 0}, signal);
+      if (seen.isOk()) return;
+      await waitMs(RETRY_MS);
+    }
+  }
+
   /** Reads results from a position on. */
   read(
     call: ReadCall,
@@ -99,7 +132,10 @@
   ): Promise<Result<ResultsAnswer, ServiceError>> {
     return this.callHome({
       path: JOB_PATHS.read,
-      body: call,
+      createBody: waitMs => ({
+        ...call,
+        waitMs: Math.min(call.waitMs, waitMs),
+      }),
       schema: RESULTS_SCHEMA,
       waitMs: call.waitMs,
       endsAtMs: this.readMs() + call.waitMs + READ_PATIENCE_MS,
@@ -115,7 +151,7 @@
   ): Promise<Result<string, ServiceError>> {
     const reply = await this.callHome({
       path: JOB_PATHS.item,
-      body: {jobId, itemId},
+      createBody: () => ({jobId, itemId}),
       schema: BODY_SCHEMA,
       waitMs: 0,
       endsAtMs: this.readMs() + READ_PATIENCE_MS,
@@ -131,7 +167,7 @@
   ): Promise<Result<object, ServiceError>> {
     return this.callHome({
       path: JOB_PATHS.end,
-      body: {jobId},
+      createBody: () => ({jobId}),
       schema: DONE_SCHEMA,
       waitMs: 0,
       endsAtMs: this.readMs() + END_PATIENCE_MS,
@@ -165,19 +201,63 @@
   private async callOnce<T>(
     call: HomeCall<T>,
   ): Promise<Result<T, ServiceError>> {
-    const home = this.options.cluster.getHome();
-    const address = parseAddress(home?.record.address ?? '');
+    const {cluster, peers, random} = this.options;
+    const address = parseAddress(cluster.getHome()?.record.address ?? '');
     if (address === undefined) {
       return err(createError('not-home', 'no home of batch jobs is known'));
     }
-    const leftMs = call.endsAtMs - this.readMs();
-    return this.options.peers.call({
-      address,
-      path: call.path,
-      body: call.body,
-      schema: call.schema,
-      timeoutMs: Math.max(50, Math.min(leftMs, call.waitMs + CALL_TIMEOUT_MS)),
-      signal: call.signal,
-    });
+    const leftMs = Math.max(MIN_CALL_MS, call.endsAtMs - this.readMs());
+    const {path, schema, signal} = call;
+    const timeoutMs = Math.min(leftMs, call.waitMs + CALL_TIMEOUT_MS);
+    const body = call.createBody(Math.max(0, leftMs - CALL_TIMEOUT_MS));
+    const peerCall = {address, path, body, schema, timeoutMs, signal};
+    const isCut = this.readMs() < this.cutUntilMs;
+    const reply = isCut
+      ? await relayPeerCall(peers, this.listRelays(), random, peerCall)
+      : await peers.call(peerCall);
+    if (reply.isErr() && MOVED_KINDS.has(reply.error.kind)) {
+      await this.searchHome(isCut, reply.error);
+    }
+    return reply;
+  }
+
+  /**
+   * Asks the nodes that can be the home which of them is. A home that is still
+   * in place but not reached is called through other nodes for a while.
+   */
+  private async searchHome(
+    wasCut: boolean,
+    error: ServiceError,
+  ): Promise<void> {
+    const {cluster, peers} = this.options;
+    const before = cluster.getHome()?.record.epoch ?? 0;
+    const replies = await Promise.all(
+      cluster.listNodes('home').map(async node => {
+        const target = parseAddress(node.address);
+        if (target === undefined) return undefined;
+        const reply = await peers.call({
+          address: target,
+          path: JOB_PATHS.ping,
+          body: {},
+          schema: PING_SCHEMA,
+          timeoutMs: PING_TIMEOUT_MS,
+        });
+        return reply.isOk() ? reply.value.home : undefined;
+      }),
+    );
+    for (const home of replies) {
+      if (home !== undefined) cluster.acceptHome(home);
+    }
+    const isSame = cluster.getHome()?.record.epoch === before;
+    const isLost = error.kind === 'peer-lost' && isSame;
+    if (isLost && !wasCut) this.cutUntilMs = this.readMs() + CUT_MS;
+    else this.cutUntilMs = -Infinity;
+  }
+
+  private listRelays(): PeerAddress[] {
+    const {cluster} = this.options;
+    return [...cluster.listNodes('entry'), ...cluster.listNodes('agent')]
+      .map(node => parseAddress(node.address))
+      .filter(address => address !== undefined);
   }
 }
--- a/packages/jobs/src/job_ledger.ts
+++ b/packages/jobs/src/job_ledger.ts
@@ -1,13 +1,18 @@
 /**
- * What lasts of batch jobs in the object API. A job is one object, created
- * under its id, so that it is accepted once; its results are a log of numbered
- * objects, created one after the other, so that no position is given twice,
- * whichever nodes write.
+ * What lasts of batch jobs in the object API.
+ *
+ * A job is a small header, created under the job's id once its items are kept,
+ * so that it is accepted once and whole. Its results are a log of numbered
+ * records in a kind of their own, created one after the other, so that no
+ * position is given twice, whichever nodes write. The end of a job is the
+ * header's status. A new home so reads the headers and the jobs that are open.
  */
 import {
   BATCH_JOB_SCHEMA,
   BatchJob,
   JOB_RESULT_SCHEMA,
+  JobProgress,
+  PROGRESS_SCHEMA,
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
@@ -18,32 +23,35 @@
 import {Result, err, ok} from 'neverthrow';
 import * as z from 'zod/mini';
 
-const JOB_KIND = 'batch-jobs';
-const PART_KIND = 'batch-job-parts';
-const LOG_KIND = 'batch-job-log';
+const HEADER_KIND = 'batch-jobs';
+const ITEMS_KIND = 'batch-items';
+const PROGRESS_KIND = 'batch-progress';
+const LOG_KIND_PREFIX = 'batch-log-';
 const SEQUENCE_DIGITS = 6;
 /** Share of the store's bound on an object that items may take. */
 const PART_SHARE = 0.8;
 
+const HEADER_SCHEMA = z.extend(z.omit(BATCH_JOB_SCHEMA, {items: true}), {
+  /** Objects that hold the items. */
+  parts: z.number(),
+});
+
+const STATUS_SCHEMA = z.object({
+  /** Whether the trainer has ended the job. */
+  isEnded: z.boolean(),
+});
+
+const PART_SCHEMA = z.object({items: BATCH_JOB_SCHEMA.shape.items});
+
 /** Schema of a record of a job's log. */
 const RECORD_SCHEMA = z.object({
-  jobId: z.string(),
   /** Number of the record in the log, from 0. */
   sequence: z.number(),
   results: z.array(JOB_RESULT_SCHEMA),
-  /** Whether the trainer has ended the job. */
-  isEnd: z.boolean(),
-  /** Names the attempt that wrote the record. */
+  /** Names the home that wrote the record. */
   writer: z.string(),
 });
 
-const STORED_JOB_SCHEMA = z.extend(BATCH_JOB_SCHEMA, {
-  /** Objects that hold further items. */
-  parts: z.number(),
-});
-
-const PART_SCHEMA = z.object({items: BATCH_JOB_SCHEMA.shape.items});
-
 /** A record of a job's log. */
 export type LogRecord = z.infer<typeof RECORD_SCHEMA>;
 
@@ -52,6 +60,16 @@
   readonly job: BatchJob;
   /** Records in order, without a gap. */
   readonly records: readonly LogRecord[];
+  readonly isEnded: boolean;
+  /** Texts that were under way. */
+  readonly progress: JobProgress;
+}
+
+/** What a list of jobs tells of one. */
+export interface JobHeader {
+  readonly id: string;
+  readonly acceptedAtMs: number;
+  readonly isEnded: boolean;
 }
 
 /** Result of a call to the store. */
@@ -71,52 +89,69 @@
 
   /** Keeps a job; false when it was kept before. */
   async createJob(job: BatchJob): StoreAnswer<boolean> {
-    const pages = splitItems(job, this.maxObjectBytes * PART_SHARE);
-    for (const [index, items] of pages.slice(1).entries()) {
+    const {items, ...header} = job;
+    const parts = splitItems(items, this.maxObjectBytes * PART_SHARE);
+    for (const [index, part] of parts.entries()) {
       const name = formatPart(job.id, index);
-      const created = await this.store.createObject(PART_KIND, name, {items});
+      const created = await this.store.createObject(ITEMS_KIND, name, {
+        items: part,
+      });
       if (created.isErr() && created.error.kind !== 'conflict') {
-        return err(created.error);
+        // Without its header no part of the job can run.
+        return err({...created.error, outcome: 'not-run'});
       }
     }
-    const stored = {...job, items: pages[0], parts: pages.length - 1};
-    const created = await this.store.createObject(JOB_KIND, job.id, stored);
+    const value = {...header, parts: parts.length};
+    const created = await this.store.createObject(HEADER_KIND, job.id, value);
     if (created.isOk()) return ok(true);
     return created.error.kind === 'conflict' ? ok(false) : err(created.error);
   }
 
+  /** Marks a job as ended. */
+  async endJob(id: string): StoreAnswer<void> {
+    const status = {isEnded: true};
+    const written = await this.store.writeStatus(HEADER_KIND, id, status);
+    return written.map(() => undefined);
+  }
+
+  /** Lists the jobs that are kept. */
+  async listJobs(): StoreAnswer<JobHeader[]> {
+    const listing = await this.store.listObjects(HEADER_KIND);
+    return listing.map(({objects}) =>
+      objects
+        .map(decodeHeader)
+        .filter(header => header !== undefined)
+        .map(({header, isEnded}) => ({
+          id: header.id,
+          acceptedAtMs: header.acceptedAtMs,
+          isEnded,
+        })),
+    );
+  }
+
   /** Reads a job with its log; undefined when there is none. */
   async readJob(id: string): StoreAnswer<KeptJob | undefined> {
-    const found = await this.store.readObject(JOB_KIND, id);
+    const [found, records, progress] = await Promise.all([
+      this.store.readObject(HEADER_KIND, id),
+      this.readLog(id),
+      this.store.readObject(PROGRESS_KIND, id),
+    ]);
     if (found.isErr()) return err(found.error);
+    if (records.isErr()) return err(records.error);
     if (found.value === undefined) return ok(undefined);
-    const job = await this.decodeJob(found.value);
-    if (job.isErr()) return err(job.error);
-    const records: LogRecord[] = [];
-    for (;;) {
-      const record = await this.readRecord(id, records.length);
-      if (record.isErr()) return err(record.error);
-      if (record.value === undefined) return ok({job: job.value, records});
-      records.push(record.value);
-    }
-  }
-
-  /** Reads every job that is kept. */
-  async readAll(): StoreAnswer<KeptJob[]> {
-    const [jobs, log] = await Promise.all([
-      this.store.listObjects(JOB_KIND),
-      this.store.listObjects(LOG_KIND),
-    ]);
-    if (jobs.isErr()) return err(jobs.error);
-    if (log.isErr()) return err(log.error);
-    const records = groupRecords(log.value.objects);
-    const kept: KeptJob[] = [];
-    for (const object of jobs.value.objects) {
-      const job = await this.decodeJob(object);
-      if (job.isErr()) return err(job.error);
-      kept.push({job: job.value, records: records.get(job.value.id) ?? []});
+    const decoded = decodeHeader(found.value);
+    if (decoded === undefined) {
+      return err(createError('internal', `batch job ${id} is unreadable`));
     }
-    return ok(kept);
+    const {parts, ...header} = decoded.header;
+    const items = await this.readItems(id, parts);
+    if (items.isErr()) return err(items.error);
+    return ok({
+      job: {...header, items: items.value},
+      records: records.value,
+      isEnded: decoded.isEnded,
+      progress: decodeProgress(progress.unwrapOr(undefined)?.value),
+    });
   }
 
   /** Reads one record; undefined when there is none. */
@@ -124,108 +159,152 @@
     jobId: string,
     sequence: number,
   ): StoreAnswer<LogRecord | undefined> {
-    const name = formatRecord(jobId, sequence);
-    const found = await this.store.readObject(LOG_KIND, name);
+    const name = formatSequence(sequence);
+    const found = await this.store.readObject(formatLogKind(jobId), name);
     if (found.isErr()) return err(found.error);
     if (found.value === undefined) return ok(undefined);
     const parsed = RECORD_SCHEMA.safeParse(found.value.value);
     return parsed.success
       ? ok(parsed.data)
-      : err(createError('internal', `record ${name} cannot be read`));
+      : err(
+          createError('internal', `record ${name} of ${jobId} is unreadable`),
+        );
   }
 
   /**
    * Appends a record. Returns the record that stands at its place: the same
    * one, or another that came first.
    */
-  async appendRecord(record: LogRecord): StoreAnswer<LogRecord> {
-    const name = formatRecord(record.jobId, record.sequence);
-    const created = await this.store.createObject(LOG_KIND, name, record);
+  async appendRecord(jobId: string, record: LogRecord): StoreAnswer<LogRecord> {
+    const name = formatSequence(record.sequence);
+    const kind = formatLogKind(jobId);
+    const created = await this.store.createObject(kind, name, record);
     if (created.isOk()) return ok(record);
     if (created.error.kind !== 'conflict') return err(created.error);
-    const found = await this.readRecord(record.jobId, record.sequence);
+    const found = await this.readRecord(jobId, record.sequence);
     if (found.isErr()) return err(found.error);
     return found.value === undefined
       ? err(createError('platform-down', `record ${name} is not there`))
       : ok(found.value);
   }
 
-  /** Removes a job and its log. */
-  async removeJob(id: string, records: number, items: number): Promise<void> {
-    await this.store.removeObject(JOB_KIND, id);
-    for (let sequence = 0; sequence < records; sequence++) {
-      await this.store.removeObject(LOG_KIND, formatRecord(id, sequence));
+  /** Keeps the texts that are under way, in place of earlier ones. */
+  async writeProgress(
+    id: string,
+    progress: JobProgress,
+    version: number | undefined,
+  ): StoreAnswer<number> {
+    const written =
+      version === undefined
+        ? await this.store.createObject(PROGRESS_KIND, id, progress)
+        : await this.store.replaceObject(PROGRESS_KIND, id, progress, version);
+    return written.map(object => object.version);
+  }
+
+  /** Returns the version of a job's progress; undefined without one. */
+  async findProgressVersion(id: string): StoreAnswer<number | undefined> {
+    const found = await this.store.readObject(PROGRESS_KIND, id);
+    return found.map(object => object?.version);
+  }
+
+  /** Removes a job with its log. */
+  async removeJob(id: string): StoreAnswer<void> {
+    const kept = await this.store.readObject(HEADER_KIND, id);
+    if (kept.isErr()) return err(kept.error);
+    const decoded =
+      kept.value === undefined ? undefined : decodeHeader(kept.value);
+    const removed = await this.store.removeObject(HEADER_KIND, id);
+    if (removed.isErr()) return removed;
+    for (let index = 0; index < (decoded?.header.parts ?? 0); index++) {
+      await this.store.removeObject(ITEMS_KIND, formatPart(id, index));
     }
-    const parts = await this.store.listObjects(PART_KIND, {after: id});
-    if (parts.isErr() || items === 0) return;
-    for (const {name} of parts.value.objects) {
-      if (!name.startsWith(`${id}.`)) return;
-      await this.store.removeObject(PART_KIND, name);
+    await this.store.removeObject(PROGRESS_KIND, id);
+    const kind = formatLogKind(id);
+    const log = await this.store.listObjects(kind);
+    if (log.isErr()) return err(log.error);
+    for (const {name} of log.value.objects) {
+      await this.store.removeObject(kind, name);
     }
+    return ok(undefined);
   }
 
-  private async decodeJob(object: CollectionObject): StoreAnswer<BatchJob> {
-    const parsed = STORED_JOB_SCHEMA.safeParse(object.value);
-    if (!parsed.success) {
-      return err(createError('internal', `job ${object.name} is unreadable`));
+  private async readLog(id: string): StoreAnswer<LogRecord[]> {
+    const listing = await this.store.listObjects(formatLogKind(id));
+    if (listing.isErr()) return err(listing.error);
+    const records: LogRecord[] = [];
+    for (const object of listing.value.objects) {
+      const parsed = RECORD_SCHEMA.safeParse(object.value);
+      if (!parsed.success || parsed.data.sequence !== records.length) break;
+      records.push(parsed.data);
     }
-    const {parts, ...job} = parsed.data;
-    const items = [...job.items];
-    for (let index = 0; index < parts; index++) {
-      const name = formatPart(job.id, index);
-      const part = await this.store.readObject(PART_KIND, name);
+    return ok(records);
+  }
+
+  private async readItems(
+    id: string,
+    parts: number,
+  ): StoreAnswer<BatchJob['items']> {
+    const names = Array.from({length: parts}, (_, i) => formatPart(id, i));
+    const found = await Promise.all(
+      names.map(name => this.store.readObject(ITEMS_KIND, name)),
+    );
+    const items: BatchJob['items'] = [];
+    for (const part of found) {
       if (part.isErr()) return err(part.error);
-      const decoded = PART_SCHEMA.safeParse(part.value?.value);
-      if (!decoded.success) {
-        return err(createError('internal', `part ${name} is unreadable`));
+      const parsed = PART_SCHEMA.safeParse(part.value?.value);
+      if (!parsed.success) {
+        return err(createError('internal', `items of ${id} are unreadable`));
       }
-      items.push(...decoded.data.items);
+      items.push(...parsed.data.items);
     }
-    return ok({...job, items});
+    return ok(items);
   }
 }
 
-/** Splits the items of a job into lists of a bounded size. */
-function splitItems(job: BatchJob, maxBytes: number): BatchJob['items'][] {
-  const pages: BatchJob['items'][] = [[]];
+function decodeHeader(object: CollectionObject) {
+  const parsed = HEADER_SCHEMA.safeParse(object.value);
+  if (!parsed.success) return undefined;
+  const status = STATUS_SCHEMA.safeParse(object.status);
+  return {
+    header: parsed.data,
+    isEnded: status.success && status.data.isEnded,
+  };
+}
+
+function decodeProgress(value: unknown): JobProgress {
+  const parsed = PROGRESS_SCHEMA.safeParse(value);
+  return parsed.success ? parsed.data : {items: []};
+}
+
+/** Splits items into lists of a bounded size; at least one. */
+function splitItems(
+  items: BatchJob['items'],
+  maxBytes: number,
+): BatchJob['items'][] {
+  const parts: BatchJob['items'][] = [[]];
   let bytes = 0;
-  for (const item of job.items) {
+  for (const item of items) {
     const size = JSON.stringify(item).length;
-    const last = pages[pages.length - 1];
+    const last = parts[parts.length - 1];
     if (bytes + size > maxBytes && last.length > 0) {
-      pages.push([item]);
+      parts.push([item]);
       bytes = size;
     } else {
       last.push(item);
       bytes += size;
     }
   }
-  return pages;
+  return parts;
 }
 
 function formatPart(jobId: string, index: number): string {
   return `${jobId}.${index}`;
 }
 
-function formatRecord(jobId: string, sequence: number): string {
-  return `${jobId}.${String(sequence).padStart(SEQUENCE_DIGITS, '0')}`;
+function formatLogKind(jobId: string): string {
+  return LOG_KIND_PREFIX + jobId;
 }
 
-/** Groups records by job, up to the first gap of each log. */
-function groupRecords(
-  objects: readonly CollectionObject[],
-): Map<string, LogRecord[]> {
-  const records = objects
-    .map(object => RECORD_SCHEMA.safeParse(object.value))
-    .filter(parsed => parsed.success)
-    .map(parsed => parsed.data)
-    .sort((a, b) => a.sequence - b.sequence);
-  const grouped = new Map<string, LogRecord[]>();
-  for (const record of records) {
-    const log = grouped.get(record.jobId) ?? [];
-    if (record.sequence !== log.length) continue;
-    log.push(record);
-    grouped.set(record.jobId, log);
-  }
-  return grouped;
+function formatSequence(sequence: number): string {
+  return String(sequence).padStart(SEQUENCE_DIGITS, '0');
 }
--- a/packages/jobs/src/job_messages.ts
+++ b/packages/jobs/src/job_messages.ts
@@ -1,5 +1,6 @@
 /** Calls about batch jobs, from entries to the home. */
 import {BATCH_JOB_SCHEMA, JOB_RESULT_SCHEMA} from '@sassafrasspan/core';
+import {HOME_SCHEMA} from '@sassafrasspan/peers';
 import * as z from 'zod/mini';
 
 /** Paths of the calls. */
@@ -9,6 +10,7 @@
   item: '/home/item',
   end: '/home/end',
   ping: '/home/ping',
+  takeOver: '/home/take-over',
 } as const;
 
 /** Schema of a submission. */
@@ -42,10 +44,15 @@
 /** Schema of the end of a job. */
 export const END_SCHEMA = z.object({jobId: z.string()});
 
+/** Schema of the answer to a home that hands over. */
+export const TAKEN_OVER_SCHEMA = z.object({isDone: z.boolean()});
+
 /** Schema of the answer to a probe. */
 export const PING_SCHEMA = z.object({
   /** Epoch of which the node is the home; 0 when it is not. */
   epoch: z.number(),
+  /** The home that the node knows. */
+  home: z.optional(z.object({record: HOME_SCHEMA, version: z.number()})),
 });
 
 export type ReadCall = z.infer<typeof READ_SCHEMA>;
--- a/packages/jobs/src/job_writer.ts
+++ b/packages/jobs/src/job_writer.ts
@@ -24,23 +24,20 @@
   readonly ledger: JobLedger;
   /** Names this home in the records that it writes. */
   readonly writer: string;
+  /** Returns the time from acceptance to the last result, in ms. */
+  readonly findRunDeadline: () => number;
   readonly clock: Clock;
   readonly log: EventLog;
   /** Hears of results that have got their places. */
   readonly onListed: (results: readonly JobResult[]) => void;
-  /** Hears that the log says that the job has ended. */
-  readonly onEnded: () => void;
 }
 
 /** The writer of one log. */
 export class JobWriter {
   private lastFlushAtMs = 0;
   private isWriting = false;
-  private isEndWanted = false;
-  private isEndWritten = false;
   private isStopped = false;
   private timer: NodeJS.Timeout | undefined;
-  private readonly endWaiters: Array<() => void> = [];
 
   private constructor(private readonly options: JobWriterOptions) {}
 
@@ -51,12 +48,16 @@
 
   /** Writes what is finished, now or when enough has been collected. */
   schedule(): void {
-    if (this.isWriting || this.isStopped || this.timer !== undefined) return;
+    if (this.isWriting || this.timer !== undefined) return;
+    if (this.isStopped || this.options.state.isEnded) return;
     const {state, clock} = this.options;
     const nowMs = clock.readMonotonicMs();
-    const delayMs = this.isEndWanted
-      ? 0
-      : computeFlushDelay(state, this.lastFlushAtMs, nowMs);
+    const delayMs = computeFlushDelay(
+      state,
+      this.lastFlushAtMs,
+      nowMs,
+      this.options.findRunDeadline(),
+    );
     if (delayMs === undefined) return;
     if (delayMs <= 0) return void this.flush();
     this.timer = setTimeout(() => {
@@ -65,28 +66,6 @@
     }, delayMs);
   }
 
-  /** Writes what is finished without waiting for more. */
-  hasten(): void {
-    clearTimeout(this.timer);
-    this.timer = undefined;
-    if (!this.isWriting && !this.isStopped) void this.flush();
-  }
-
-  /** Ends the job; resolves when the log says so. */
-  end(): Promise<void> {
-    if (this.isEndWritten) return Promise.resolve();
-    this.isEndWanted = true;
-    return new Promise(resolve => {
-      this.endWaiters.push(resolve);
-      this.hasten();
-    });
-  }
-
-  /** Notes that the log says already that the job has ended. */
-  markEnded(): void {
-    this.isEndWritten = true;
-  }
-
   /** Writes nothing more. */
   stop(): void {
     this.isStopped = true;
@@ -96,10 +75,13 @@
   private async flush(): Promise<void> {
     this.isWriting = true;
     let retryMs = MIN_RETRY_MS;
-    while (!this.isStopped) {
+    while (!this.isStopped && !this.options.state.isEnded) {
       const record = this.createRecord();
       if (record === undefined) break;
-      const written = await this.options.ledger.appendRecord(record);
+      const written = await this.options.ledger.appendRecord(
+        this.options.state.job.id,
+        record,
+      );
       if (this.isStopped) break;
       if (written.isErr()) {
         await waitMs(retryMs);
@@ -117,14 +99,12 @@
   private createRecord(): LogRecord | undefined {
     const {state, writer} = this.options;
     const results = limitResults(state.listUnlisted());
-    const isEnd = this.isEndWanted && !this.isEndWritten;
-    if (results.length === 0 && !isEnd) return undefined;
-    const sequence = state.nextRecord;
-    return {jobId: state.job.id, sequence, results, isEnd, writer};
+    if (results.length === 0) return undefined;
+    return {sequence: state.nextRecord, results, writer};
   }
 
   private applyRecord(record: LogRecord): void {
-    const {state, log, onListed, onEnded} = this.options;
+    const {state, log, onListed} = this.options;
     state.applyResults(record.results);
     log.writeEvent('results-listed', {
       requestId: state.job.id,
@@ -134,11 +114,6 @@
       groups: state.countWholeGroups(),
     });
     onListed(record.results);
-    if (!record.isEnd) return;
-    this.isEndWritten = true;
-    this.isEndWanted = false;
-    onEnded();
-    for (const resolve of this.endWaiters.splice(0)) resolve();
   }
 }
 
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,4 +1,6 @@
 /** Calls among the nodes of a deployment, and who they are. */
 export * from './cluster_watch';
 export * from './peer_client';
+export * from './peer_relay';
 export * from './peer_server';
+export * from './relayed_store';
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -1,7 +1,8 @@
 /**
  * Calls another node: JSON over a kept HTTP connection. The errors of the
  * other node come back as they are; a node that does not answer is
- * `peer-lost`, with whether the call may have reached it.
+ * `peer-lost`, with whether the call may have reached it, and one that does not
+ * listen `peer-absent`.
  */
 import {ServiceError, createError, readErrorKind} from '@sassafrasspan/core';
 import {
@@ -70,8 +71,9 @@
 }
 
 function convertFault(fault: HttpFault): ServiceError {
-  const outcome = fault.isSent ? 'unknown' : 'not-run';
   const detail = `${fault.reason}: ${fault.detail}`;
+  if (fault.reason === 'refused') return createError('peer-absent', detail);
+  const outcome = fault.isSent ? 'unknown' : 'not-run';
   return createError('peer-lost', detail, {outcome});
 }
 
--- /dev/null
+++ b/packages/peers/src/relayed_store.ts
@@ -0,0 +1,295 @@
+/**
+ * The object API as a node reaches it: straight, or through another node that
+ * is asked to make the call on its own path. An error that the store itself
+ * has given, such as a conflict, is an answer whichever way it came.
+ */
+import {
+  Clock,
+  RandomSource,
+  ServiceError,
+  StorePath,
+  StoreWay,
+  createError,
+} from '@sassafrasspan/core';
+import type {
+  CollectionChanges,
+  CollectionListing,
+  CollectionObject,
+  ListOptions,
+  ObjectCollections,
+  StoreResult,
+} from '@sassafrasspan/platform';
+import {EventLog, PeerAddress} from '@sassafrasspan/runtime';
+import {Result, err, ok} from 'neverthrow';
+import * as z from 'zod/mini';
+import type {PeerClient} from './peer_client';
+import {PeerRoutes, createHandler} from './peer_server';
+
+const RELAY_PATH = '/store/relay';
+/** Nodes that are asked before the store counts as away. */
+const MAX_RELAYS = 2;
+/** Time for a relayed call beyond its wait, in ms. */
+const RELAY_TIMEOUT_MS = 1_100;
+
+/** Errors that say nothing of the store's answer. */
+const NO_ANSWER_KINDS: ReadonlySet<string> = new Set([
+  'platform-down',
+  'peer-lost',
+  'peer-absent',
+]);
+
+/** Schema of a call on the store as another node makes it. */
+const RELAYED_CALL_SCHEMA = z.discriminatedUnion('operation', [
+  z.object({operation: z.literal('read'), kind: z.string(), name: z.string()}),
+  z.object({
+    operation: z.literal('list'),
+    kind: z.string(),
+    after: z.optional(z.string()),
+    mayBeStale: z.optional(z.boolean()),
+  }),
+  z.object({
+    operation: z.literal('watch'),
+    kind: z.string(),
+    storeVersion: z.number(),
+    waitMs: z.number(),
+  }),
+  z.object({
+    operation: z.literal('create'),
+    kind: z.string(),
+    name: z.string(),
+    value: z.unknown(),
+  }),
+  z.object({
+    operation: z.literal('replace'),
+    kind: z.string(),
+    name: z.string(),
+    value: z.unknown(),
+    version: z.number(),
+  }),
+  z.object({
+    operation: z.literal('status'),
+    kind: z.string(),
+    name: z.string(),
+    status: z.unknown(),
+  }),
+  z.object({
+    operation: z.literal('remove'),
+    kind: z.string(),
+    name: z.string(),
+  }),
+]);
+
+type RelayedCall = z.infer<typeof RELAYED_CALL_SCHEMA>;
+
+/** Answer of a node whose own path does not work. */
+const CUT_ERROR = createError('platform-down', 'no way to the store here', {
+  outcome: 'not-run',
+});
+
+/** A relayed result; absent for a missing object. */
+const VALUE_SCHEMA = z.object({value: z.optional(z.unknown())});
+
+/** Makes a call on a store. */
+const OPERATIONS: {
+  readonly [K in RelayedCall['operation']]: (
+    store: ObjectCollections,
+    call: Extract<RelayedCall, {operation: K}>,
+  ) => StoreResult<unknown>;
+} = {
+  read: (store, call) => store.readObject(call.kind, call.name),
+  list: (store, {kind, after, mayBeStale}) =>
+    store.listObjects(kind, {after, mayBeStale}),
+  watch: (store, call) =>
+    store.watchObjects(call.kind, call.storeVersion, call.waitMs),
+  create: (store, call) => store.createObject(call.kind, call.name, call.value),
+  replace: (store, call) =>
+    store.replaceObject(call.kind, call.name, call.value, call.version),
+  status: (store, call) => store.writeStatus(call.kind, call.name, call.status),
+  remove: (store, call) => store.removeObject(call.kind, call.name),
+};
+
+function runOperation(
+  store: ObjectCollections,
+  call: RelayedCall,
+): StoreResult<unknown> {
+  const operation = OPERATIONS[call.operation] as (
+    store: ObjectCollections,
+    call: RelayedCall,
+  ) => StoreResult<unknown>;
+  return operation(store, call);
+}
+
+/** What a relayed store is built from. */
+export interface RelayedStoreOptions {
+  readonly direct: ObjectCollections;
+  readonly peers: PeerClient;
+  /** Lists the nodes that can relay. */
+  readonly listRelays: () => readonly PeerAddress[];
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+}
+
+/** The store by whichever way works. */
+export class RelayedStore implements ObjectCollections {
+  private readonly path = StorePath.create();
+
+  private constructor(private readonly options: RelayedStoreOptions) {}
+
+  /** Builds a store. */
+  static create(options: RelayedStoreOptions): RelayedStore {
+    return new RelayedStore(options);
+  }
+
+  /** Returns the call that other nodes make on this node's own path. */
+  createRoutes(): PeerRoutes {
+    return {
+      [RELAY_PATH]: createHandler(RELAYED_CALL_SCHEMA, async call => {
+        if (this.path.isCut(this.readMs())) return err(CUT_ERROR);
+        const result = await this.runDirect(call);
+        return result.map(value => ({value}));
+      }),
+    };
+  }
+
+  readObject(
+    kind: string,
+    name: string,
+  ): StoreResult<CollectionObject | undefined> {
+    return this.run({operation: 'read', kind, name});
+  }
+
+  listObjects(
+    kind: string,
+    options: ListOptions = {},
+  ): StoreResult<CollectionListing> {
+    return this.run({operation: 'list', kind, ...options});
+  }
+
+  watchObjects(
+    kind: string,
+    storeVersion: number,
+    waitMs: number,
+  ): StoreResult<CollectionChanges> {
+    return this.run({operation: 'watch', kind, storeVersion, waitMs}, waitMs);
+  }
+
+  createObject(
+    kind: string,
+    name: string,
+    value: unknown,
+  ): StoreResult<CollectionObject> {
+    return this.run({operation: 'create', kind, name, value});
+  }
+
+  replaceObject(
+    kind: string,
+    name: string,
+    value: unknown,
+    version: number,
+  ): StoreResult<CollectionObject> {
+    return this.run({operation: 'replace', kind, name, value, version});
+  }
+
+  writeStatus(
+    kind: string,
+    name: string,
+    status: unknown,
+  ): StoreResult<CollectionObject> {
+    return this.run({operation: 'status', kind, name, status});
+  }
+
+  removeObject(kind: string, name: string): StoreResult<void> {
+    return this.run({operation: 'remove', kind, name});
+  }
+
+  private async run<T>(call: RelayedCall, waitMs = 0): StoreResult<T> {
+    let last: ServiceError = createError(
+      'platform-down',
+      'no way to the store a moment ago',
+      {outcome: 'not-run'},
+    );
+    let isUnknown = false;
+    for (const way of this.path.listWays(this.readMs())) {
+      if (way === 'relayed' && this.isCutWatch(call)) break;
+      const result = await this.runBy(way, call, waitMs);
+      if (result.isOk()) return ok(result.value as T);
+      if (result.error.kind !== 'platform-down') return err(result.error);
+      last = result.error;
+      isUnknown ||= last.outcome !== 'not-run';
+    }
+    return err(isUnknown ? {...last, outcome: 'unknown'} : last);
+  }
+
+  /** A watch that was cut says nothing of the path; its caller lists next. */
+  private isCutWatch(call: RelayedCall): boolean {
+    return call.operation === 'watch' && !this.path.isCut(this.readMs());
+  }
+
+  private runBy(
+    way: StoreWay,
+    call: RelayedCall,
+    waitMs: number,
+  ): StoreResult<unknown> {
+    return way === 'direct'
+      ? this.runDirect(call)
+      : this.runRelayed(call, waitMs);
+  }
+
+  private async runDirect(call: RelayedCall): StoreResult<unknown> {
+    const wasCut = this.path.isCut(this.readMs());
+    const result = await runOperation(this.options.direct, call);
+    const isCut = result.isErr() && result.error.kind === 'platform-down';
+    if (isCut) {
+      if (call.operation !== 'watch') this.path.recordCut(this.readMs());
+    } else {
+      this.path.recordDirect();
+      if (wasCut) this.options.log.writeEvent('store-path-up', {});
+    }
+    return result;
+  }
+
+  private async runRelayed(
+    call: RelayedCall,
+    waitMs: number,
+  ): StoreResult<unknown> {
+    const {peers, log} = this.options;
+    let last: ServiceError = createError('platform-down', 'no node to relay', {
+      outcome: 'not-run',
+    });
+    let isUnknown = false;
+    for (const address of this.pickRelays()) {
+      const reply: Result<{value?: unknown}, ServiceError> = await peers.call({
+        address,
+        path: RELAY_PATH,
+        body: call,
+        schema: VALUE_SCHEMA,
+        timeoutMs: waitMs + RELAY_TIMEOUT_MS,
+      });
+      if (reply.isOk()) {
+        this.path.recordRelayed();
+        log.writeEvent('store-call-relayed', {kind: call.kind});
+        return ok(reply.value.value);
+      }
+      last = reply.error;
+      if (!NO_ANSWER_KINDS.has(last.kind)) return err(last);
+      isUnknown ||= last.outcome !== 'not-run';
+    }
+    this.path.recordAway(this.readMs());
+    const outcome = isUnknown ? 'unknown' : 'not-run';
+    return err(createError('platform-down', last.detail, {outcome}));
+  }
+
+  private pickRelays(): PeerAddress[] {
+    const {listRelays, random} = this.options;
+    return [...listRelays()]
+      .map(address => ({address, order: random()}))
+      .sort((a, b) => a.order - b.order)
+      .slice(0, MAX_RELAYS)
+      .map(item => item.address);
+  }
+
+  private readMs(): number {
+    return this.options.clock.readMonotonicMs();
+  }
+}
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -26,6 +26,9 @@
 
 /** Age of a command by the agent's clock beyond which it is void, in ms. */
 const COMMAND_LIFE_MS = 1_500;
+/** Time for the home to take what there is before the agent ends, in ms. */
+const DRAIN_MS = 1_000;
+const DRAIN_CHECK_MS = 20;
 /** Silence of every home after which runs are broken off, in ms. */
 const ORPHAN_MS = 8_000;
 /** Time between reports of the engine while something is under way, in ms. */
@@ -110,11 +113,16 @@
     }
   }
 
-  /** Breaks off every run. */
-  stop(): void {
+  /** Breaks off every run, and waits until the home has what there is. */
+  async stop(): Promise<void> {
     this.isStopped = true;
+    this.recordEngine(UNREACHABLE);
     for (const run of this.book.listActive()) {
-      this.breakRun(run.order.runId, 'broken');
+      this.breakRun(run.order.runId, 'stopped');
+    }
+    const endsAtMs = this.readMs() + DRAIN_MS;
+    while (!this.book.isReceived() && this.readMs() < endsAtMs) {
+      await waitMs(DRAIN_CHECK_MS);
     }
   }
 
@@ -135,12 +143,13 @@
 
   private async readEngine(): Promise<void> {
     const report = await this.options.control.readReport();
+    if (this.isStopped) return;
     const state = report.isOk() ? selectState(report.value) : UNREACHABLE;
-    this.noteEngine(state);
+    this.recordEngine(state);
     if (report.isOk()) void this.options.loader.advance(report.value);
   }
 
-  private noteEngine(state: EngineState): void {
+  private recordEngine(state: EngineState): void {
     const before = this.engine;
     this.engine = state;
     const isSame =
@@ -236,6 +245,9 @@
     if (ageMs > COMMAND_LIFE_MS) {
       return err(createError('stale-dispatch', `sent ${ageMs} ms ago`));
     }
+    if (this.isStopped) {
+      return err(createError('draining', 'the agent is stopping'));
+    }
     for (const order of commands.starts) this.startRun(order);
     for (const order of commands.loads) this.options.loader.request(order);
     if (commands.loads.length > 0) this.wakeReport();
@@ -266,7 +278,15 @@
         const tookMs = this.readMs() - startedAtMs;
         metrics.recordMs('run_ms', {}, tookMs);
         metrics.addCount('runs_ended_total', {end});
-        const fields = {requestId: itemId, run: runId, end, detail, tookMs};
+        const events = this.book.find(runId)?.events.length;
+        const fields = {
+          requestId: itemId,
+          run: runId,
+          end,
+          detail,
+          tookMs,
+          events,
+        };
         log.writeEvent('run-ended', fields);
         this.wakeSync();
       },
--- a/packages/runs/src/weight_loader.ts
+++ b/packages/runs/src/weight_loader.ts
@@ -1,16 +1,13 @@
 /**
  * Brings the engine beside an agent to a weight version. The agent is the only
- * holder of its engine; its fencing number is won from the store, once a life,
- * before the first order. An order whose answer was lost may be carried out
+ * holder of its engine; its fencing number is the epoch of the home that orders
+ * the load, and the agent takes no orders of earlier homes. An order whose answer was lost may be carried out
  * seconds later, so that the engine's own report decides what follows.
  */
 import type {Clock, LoadOrder} from '@sassafrasspan/core';
-import type {ObjectCollections} from '@sassafrasspan/platform';
 import type {EventLog} from '@sassafrasspan/runtime';
-import * as z from 'zod/mini';
 import type {EngineControl, EngineReport} from './engine_ports';
 
-const FENCING_KIND = 'fencing';
 /** Time before an order is given again after a failure, in ms. */
 const RETRY_MS = 250;
 /** Time for an order without an answer to be carried out, in ms; the platform
@@ -20,14 +17,11 @@
 /** Time for an accepted order to show in the engine's report, in ms. */
 const ACCEPTED_MS = 5_000;
 
-const FENCING_SCHEMA = z.object({number: z.number(), holder: z.string()});
-
 /** What a loader is built from. */
 export interface WeightLoaderOptions {
-  /** Name of the agent's VM, which its number belongs to. */
+  /** Name of the agent's VM. */
   readonly holder: string;
   readonly control: EngineControl;
-  readonly store: ObjectCollections;
   readonly clock: Clock;
   readonly log: EventLog;
 }
@@ -35,7 +29,6 @@
 /** Loads weights into one engine. */
 export class WeightLoader {
   private readonly wanted = new Map<string, LoadOrder>();
-  private fencingNumber: number | undefined;
   private waitUntilMs = 0;
   private isWorking = false;
 
@@ -81,9 +74,7 @@
 
   private async give(order: LoadOrder, report: EngineReport): Promise<void> {
     const {control, holder, log} = this.options;
-    const number = this.fencingNumber ?? (await this.gainNumber());
-    if (number === undefined) return this.wait(RETRY_MS);
-    const {endpointId, model, version} = order;
+    const {endpointId, model, version, fencingNumber} = order;
     const {orderSequence} = report;
     log.writeEvent('swap-started', {endpoint: endpointId, model, version});
     const answer = await control.orderVersion({
@@ -91,7 +82,7 @@
       model,
       version,
       holder,
-      fencingNumber: number,
+      fencingNumber,
       orderSequence,
     });
     if (answer.isErr()) {
@@ -110,27 +101,4 @@
   private wait(delayMs: number): void {
     this.waitUntilMs = this.options.clock.readMonotonicMs() + delayMs;
   }
-
-  /** Wins a number above all earlier ones; undefined when that failed. */
-  private async gainNumber(): Promise<number | undefined> {
-    const {store, holder, log} = this.options;
-    const found = await store.readObject(FENCING_KIND, holder);
-    if (found.isErr()) return undefined;
-    const parsed = FENCING_SCHEMA.safeParse(found.value?.value);
-    const number = parsed.success ? parsed.data.number + 1 : 1;
-    const value = {number, holder};
-    const written =
-      found.value === undefined
-        ? await store.createObject(FENCING_KIND, holder, value)
-        : await store.replaceObject(
-            FENCING_KIND,
-            holder,
-            value,
-            found.value.version,
-          );
-    if (written.isErr()) return undefined;
-    this.fencingNumber = number;
-    log.writeEvent('fencing-gained', {endpoint: holder, number});
-    return number;
-  }
 }
