--- a/packages/core/src/batch/carry_over.ts
+++ b/packages/core/src/batch/carry_over.ts
@@ -5,7 +5,7 @@
  * for such a group, so that it must be known even where nothing is left of it.
  */
 import {BatchJob, JobResult, TextEvent, createResult} from './batch_types';
-import type {ItemState, JobState} from './job_state';
+import type {ItemState, JobState, KnownLength} from './job_state';
 import type {RunUpdate} from './run_messages';
 
 /** Items that are remembered; the oldest are dropped. */
@@ -18,10 +18,11 @@
 interface LeftItem {
   readonly result: JobResult | undefined;
   readonly events: readonly TextEvent[];
+  readonly length: KnownLength | undefined;
+  /** Oldest version that its job took. */
+  readonly minVersion: number;
 }
 
-const NOTHING_LEFT: LeftItem = {result: undefined, events: []};
-
 /** A run of an ended job. */
 export interface LingeringRun {
   readonly runId: string;
@@ -29,6 +30,8 @@
   readonly itemId: string;
   readonly events: TextEvent[];
   readonly endsAtMs: number;
+  /** Oldest version that its job took. */
+  readonly minVersion: number;
 }
 
 /** What ended jobs have left. */
@@ -45,27 +48,33 @@
   }
 
   /** Keeps what a job that ends has of an item. */
-  leaveItem(state: ItemState, nowMs: number): void {
+  leaveItem(state: ItemState, minVersion: number, nowMs: number): void {
     const {id} = state.item;
     const {run, events, result} = state;
     if (state.phase === 'running' && run !== undefined) {
       const {runId, endpointId} = run;
       const endsAtMs = nowMs + LINGER_MS;
-      const lingering = {runId, endpointId, itemId: id, events, endsAtMs};
+      const itemId = id;
+      const lingering = {
+        runId,
+        endpointId,
+        itemId,
+        events,
+        endsAtMs,
+        minVersion,
+      };
       this.runs.set(runId, lingering);
       this.runsByItem.set(id, lingering);
       return;
     }
-    const isDone = result?.state === 'completed';
-    this.put(id, isDone ? {result, events: []} : {result: undefined, events});
+    this.put(id, result ?? events, state.knownLength, minVersion);
   }
 
   /** Notes the items of a job that ended under an earlier home. */
   learnJob(state: JobState): void {
     for (const {item, result} of state.items.values()) {
       if (this.items.has(item.id)) continue;
-      const isDone = result?.state === 'completed';
-      this.put(item.id, isDone ? {result, events: []} : NOTHING_LEFT);
+      this.put(item.id, result ?? [], undefined, state.job.minVersion);
     }
   }
 
@@ -77,6 +86,18 @@
     return new Set(known.map(item => item.group));
   }
 
+  /**
+   * Returns by how many versions a job lies after the one that had its items;
+   * undefined when it has none of an earlier job.
+   */
+  findVersionLead(job: BatchJob): number | undefined {
+    const leads = job.items
+      .map(item => this.items.get(item.id) ?? this.runsByItem.get(item.id))
+      .filter(left => left !== undefined)
+      .map(left => job.minVersion - left.minVersion);
+    return leads.length === 0 ? undefined : Math.min(...leads);
+  }
+
   /**
    * Gives a new job what is left of its items. Returns the runs that go on for
    * it, and those that are of no use to it.
@@ -87,11 +108,14 @@
   } {
     const attached: LingeringRun[] = [];
     const useless: LingeringRun[] = [];
-    for (const id of state.items.keys()) {
+    for (const [id, item] of state.items) {
       const left = this.items.get(id);
       this.items.delete(id);
-      if (left?.result !== undefined) state.adoptResult(left.result);
-      else if (left !== undefined) state.adoptText(id, left.events);
+      if (left !== undefined) {
+        item.knownLength = left.length;
+        if (left.result !== undefined) state.adoptResult(left.result);
+        else state.adoptText(id, left.events);
+      }
       const run = this.runsByItem.get(id);
       if (run === undefined) continue;
       this.dropRun(run);
@@ -119,9 +143,9 @@
     const run = this.runs.get(runId);
     if (run === undefined) return false;
     this.dropRun(run);
-    const {itemId, events} = run;
-    const result = isWhole ? createResult(itemId, events) : undefined;
-    this.put(itemId, {result, events: isWhole ? [] : events});
+    const {itemId, events, minVersion} = run;
+    const left = isWhole ? createResult(itemId, events) : events;
+    this.put(itemId, left, undefined, minVersion);
     return true;
   }
 
@@ -139,12 +163,34 @@
     this.runsByItem.delete(run.itemId);
   }
 
-  private put(itemId: string, left: LeftItem): void {
+  private put(
+    itemId: string,
+    left: JobResult | readonly TextEvent[],
+    known: KnownLength | undefined,
+    minVersion: number,
+  ): void {
     this.items.delete(itemId);
-    this.items.set(itemId, left);
+    this.items.set(itemId, createLeftItem(left, known, minVersion));
     for (const oldest of this.items.keys()) {
       if (this.items.size <= MAX_ITEMS) return;
       this.items.delete(oldest);
     }
   }
 }
+
+function createLeftItem(
+  left: JobResult | readonly TextEvent[],
+  known: KnownLength | undefined,
+  minVersion: number,
+): LeftItem {
+  if ('state' in left) {
+    if (left.state === 'dead') {
+      return {result: undefined, events: [], length: known, minVersion};
+    }
+    const length = {events: left.text.split('\n').length, isWhole: true};
+    return {result: left, events: [], length, minVersion};
+  }
+  const isMore = left.length > (known?.events ?? 0) && known?.isWhole !== true;
+  const length = isMore ? {events: left.length, isWhole: false} : known;
+  return {result: undefined, events: left, length, minVersion};
+}
--- a/packages/core/src/batch/home_scheduler.ts
+++ b/packages/core/src/batch/home_scheduler.ts
@@ -78,6 +78,8 @@
   private readonly newest = new Map<string, number>();
   private readonly work = new Map<string, number>();
   private readonly carryOver = CarryOver.create();
+  /** Versions from a job to the one that has its left items, by model. */
+  private readonly versionLeads = new Map<string, number>();
   /** Places that are kept for items on their way to a faster endpoint. */
   private readonly reserved = new Map<string, Reservation>();
   /** Endpoint of each run that is to be broken off. */
@@ -104,6 +106,8 @@
     const known = this.jobs.get(job.id);
     if (known !== undefined) return known;
     const carried = this.carryOver.findGroups(job);
+    const lead = this.carryOver.findVersionLead(job);
+    if (lead !== undefined) this.versionLeads.set(job.model, lead);
     const state = JobState.create(job, acceptedAtMs, carried);
     for (const results of records) state.applyResults(results);
     this.jobs.set(job.id, state);
@@ -151,7 +155,7 @@
     this.jobs.delete(id);
     state.isEnded = true;
     for (const item of state.items.values()) {
-      this.carryOver.leaveItem(item, nowMs);
+      this.carryOver.leaveItem(item, state.job.minVersion, nowMs);
     }
   }
 
@@ -224,6 +228,7 @@
     const {runId, jobId, itemId, end} = update;
     const run = runner.runs.get(runId);
     if (end !== undefined) runner.runs.delete(runId);
+    if (isRejection(update)) runner.recordRejection(nowMs);
     if (this.carryOver.applyUpdate(update)) return;
     const state = this.findJobOfRun(runId, jobId, itemId);
     if (state === undefined) return this.dropRun(runner, runId, end);
@@ -323,7 +328,7 @@
     };
     const jobs = this.listOpenJobs().map(state => this.describeJob(state));
     const startItems = (ranks: readonly ItemRank[]) => {
-      const view = {jobs, runners: this.describeRunners(), nowMs, ranks};
+      const view = {jobs, runners: this.describeRunners(nowMs), nowMs, ranks};
       for (const start of planStarts({...view, reserved: this.reserved})) {
         const {rank, remainingTokens, msPerToken} = start;
         open(start.endpointId).starts.push(this.startItem(start, nowMs));
@@ -378,7 +383,7 @@
     jobs: readonly JobView[],
     nowMs: number,
   ): PlannedMove[] {
-    const views = this.describeRunners();
+    const views = this.describeRunners(nowMs);
     const moves = planMoves(jobs.flatMap(listMovableRuns), views);
     for (const {run, targetId} of moves) {
       const source = this.runners.get(run.endpointId);
@@ -400,7 +405,7 @@
     }
   }
 
-  private describeRunners() {
+  private describeRunners(nowMs: number) {
     const models = [...this.newest.keys()];
     const reserved = [...this.reserved.values()];
     return [...this.runners.values()].map(runner =>
@@ -409,6 +414,7 @@
         reserved.filter(
           item => item.endpointId === runner.registration.endpointId,
         ).length,
+        nowMs,
       ),
     );
   }
@@ -424,6 +430,8 @@
       endpointIds: new Set(runners.map(item => item.registration.endpointId)),
       tokensPerEvent: runners[0]?.registration.tokensPerEvent ?? 1,
       runDeadlineMs: bounds?.runDeadlineMs ?? DEFAULT_RUN_DEADLINE_MS,
+      spareVersion:
+        state.job.minVersion + (this.versionLeads.get(state.job.model) ?? 0),
       isStopping: (runId, endpointId) =>
         this.runners.get(endpointId)?.runs.get(runId)?.isStopping ?? true,
     };
@@ -491,6 +499,13 @@
   }
 }
 
+/** Tells whether an endpoint made nothing of a run. */
+function isRejection(update: RunUpdate): boolean {
+  const {end, events, from, firstEvent} = update;
+  if (end === 'not-run') return true;
+  return end === 'broken' && from + events.length === firstEvent;
+}
+
 /** Lists the runs of a job that could go on elsewhere. */
 function listMovableRuns(job: JobView): MovableRun[] {
   const runs: MovableRun[] = [];
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -33,9 +33,18 @@
   readonly firstEvent: number;
 }
 
+/** What an earlier job has shown of the length of an item. */
+export interface KnownLength {
+  readonly events: number;
+  /** Whether that is all of it, or what there was when it was left. */
+  readonly isWhole: boolean;
+}
+
 /** State of one item. */
 export interface ItemState {
   readonly item: JobItem;
+  /** What is known of its length; undefined for nothing. */
+  knownLength: KnownLength | undefined;
   phase: 'waiting' | 'running' | 'finished' | 'listed';
   events: TextEvent[];
   run: ItemRun | undefined;
@@ -246,6 +255,7 @@
 function createItemState(item: JobItem): ItemState {
   return {
     item,
+    knownLength: undefined,
     phase: 'waiting',
     events: [],
     run: undefined,
--- a/packages/core/src/batch/runner_state.ts
+++ b/packages/core/src/batch/runner_state.ts
@@ -9,6 +9,11 @@
 /** Time for an order to load to show in the engine's state, in ms. */
 const LOAD_TIMEOUT_MS = 6_000;
 
+/** Time without starts after an endpoint turned one away, in ms; doubles with
+ * each in a row up to the bound. */
+const MIN_BLOCK_MS = 60;
+const MAX_BLOCK_MS = 800;
+
 /** A run as the home follows it. */
 export interface FollowedRun {
   readonly runId: string;
@@ -53,6 +58,8 @@
   pendingLoad: PendingLoad | undefined;
   readonly runs = new Map<string, FollowedRun>();
   private readonly pace = PaceMeter.create();
+  private rejections = 0;
+  private blockedUntilMs = -Infinity;
 
   private constructor(registration: RunnerRegistration) {
     this.registration = registration;
@@ -73,6 +80,14 @@
     if (version >= pendingLoad.version || isOld) this.pendingLoad = undefined;
   }
 
+  /** Notes that the endpoint turned a start away or broke it off at once. */
+  recordRejection(nowMs: number): void {
+    if (nowMs < this.blockedUntilMs) return;
+    const blockMs = MIN_BLOCK_MS * 2 ** this.rejections;
+    this.rejections += 1;
+    this.blockedUntilMs = nowMs + Math.min(MAX_BLOCK_MS, blockMs);
+  }
+
   /** Returns the version of a model. */
   getVersion(model: string): number {
     const reported = this.engine?.versions[model];
@@ -89,7 +104,10 @@
     for (const run of this.runs.values()) {
       const count = events.get(run.runId) ?? 0;
       const sinceMs = run.countedAtMs;
-      if (count > 0) run.progressAtMs = nowMs;
+      if (count > 0) {
+        run.progressAtMs = nowMs;
+        this.rejections = 0;
+      }
       if (count > 0 || sinceMs !== undefined) run.countedAtMs = nowMs;
       if (sinceMs === undefined) continue;
       const tokens = count * this.registration.tokensPerEvent;
@@ -98,17 +116,23 @@
   }
 
   /** Describes the endpoint for plans, with places that are kept there. */
-  describe(models: readonly string[], reserved: number): RunnerView {
+  describe(
+    models: readonly string[],
+    reserved: number,
+    nowMs: number,
+  ): RunnerView {
     const {endpointId, slots, memoryTokens, isDraining} = this.registration;
     let expectedMemory = 0;
     for (const run of this.runs.values()) expectedMemory += run.expectedMemory;
     const isReachable = this.engine?.isReachable === true;
+    const isTaking =
+      !isDraining && !this.isLoading() && nowMs >= this.blockedUntilMs;
     return {
       id: endpointId,
       slots,
       memoryTokens,
       versions: new Map(models.map(model => [model, this.getVersion(model)])),
-      isOpen: this.isLinked && isReachable && !isDraining && !this.isLoading(),
+      isOpen: this.isLinked && isReachable && isTaking,
       runs: this.runs.size + reserved,
       expectedMemory,
       msPerToken: this.pace.getMsPerToken(),
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -44,6 +44,11 @@
   readonly tokensPerEvent: number;
   /** Time from acceptance to the last result, in ms. */
   readonly runDeadlineMs: number;
+  /**
+   * Oldest version for items that the trainer will probably not wait for: a
+   * later job that has them again can only use their text from there.
+   */
+  readonly spareVersion: number;
   /** Tells whether a run is being broken off. */
   readonly isStopping: (runId: string, endpointId: string) => boolean;
 }
@@ -259,12 +264,14 @@
 }
 
 function canRun(
-  {job, item}: Candidate,
+  {job, item, rank}: Candidate,
   load: RunnerLoad,
   needed: number,
 ): boolean {
   const {view} = load;
   if (load.runs >= view.slots || !canRunItem(job, item, view)) return false;
+  const version = view.versions.get(job.state.job.model) ?? 0;
+  if (rank === 'spare' && version < job.spareVersion) return false;
   const limit = view.memoryTokens * MEMORY_SHARE;
   return load.runs === 0 || load.memory + needed <= limit;
 }
--- a/packages/jobs/src/job_client.ts
+++ b/packages/jobs/src/job_client.ts
@@ -37,6 +37,13 @@
 const READ_PATIENCE_MS = 1_100;
 /** Time that the end of a job may take, in ms. */
 const END_PATIENCE_MS = 3_000;
+/** Time for which a submission is tried while the store is away, in ms: a
+ * quarter of the time that trainers wait. */
+const SUBMIT_HOLD_MS = 3_000;
+/** When a trainer should come back after that, in ms. */
+const SUBMIT_RETRY_AFTER_MS = 1_500;
+/** Errors that may pass within that time. */
+const AWAY_KINDS: ReadonlySet<string> = new Set(['platform-down', 'peer-lost']);
 /** Times that a home is told of a job that an entry has kept; each takes up to
  * the patience of a read. */
 const NOTIFY_ATTEMPTS = 20;
@@ -87,10 +94,34 @@
     return new JobClient(options);
   }
 
-  /** Submits a job; a success means that it is kept. */
+  /**
+   * Submits a job; a success means that it is kept. While the store is away
+   * the submission is tried again for a while, since outages are mostly short.
+   */
   async submit(
     job: BatchJob,
     signal: AbortSignal,
+  ): Promise<Result<object, ServiceError>> {
+    const endsAtMs = this.readMs() + SUBMIT_HOLD_MS;
+    let isUnknown = false;
+    for (;;) {
+      const kept = await this.trySubmit(job, signal);
+      if (kept.isOk()) return kept;
+      isUnknown ||= getErrorAnswer(kept.error).outcome !== 'not-run';
+      const isOver = this.readMs() >= endsAtMs || signal.aborted;
+      if (!isOver && AWAY_KINDS.has(kept.error.kind)) {
+        await waitMs(RETRY_MS);
+        continue;
+      }
+      const {detail} = kept.error;
+      if (isUnknown) return err(createError('job-unknown', detail));
+      return err({...kept.error, retryAfterMs: SUBMIT_RETRY_AFTER_MS});
+    }
+  }
+
+  private async trySubmit(
+    job: BatchJob,
+    signal: AbortSignal,
   ): Promise<Result<object, ServiceError>> {
     const reply = await this.callHome({
       path: JOB_PATHS.submit,
@@ -106,13 +137,11 @@
       void this.notifyHome(job.id);
       return ok({});
     }
-    const outcomes = [reply.error, created.error].map(
-      error => getErrorAnswer(error).outcome,
+    const isUnrun = [reply.error, created.error].every(
+      error => getErrorAnswer(error).outcome === 'not-run',
     );
-    if (outcomes.every(outcome => outcome === 'not-run')) {
-      return err(created.error);
-    }
-    return err(createError('job-unknown', created.error.detail));
+    const outcome = isUnrun ? 'not-run' : 'unknown';
+    return err({...created.error, outcome});
   }
 
   /** Makes the next home take up a job that this entry has kept. */
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -288,6 +288,7 @@
           events,
         };
         log.writeEvent('run-ended', fields);
+        if (end === 'not-run' || end === 'broken') this.wakeReport();
         this.wakeSync();
       },
     });
