--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -153,7 +153,7 @@
       return;
     }
     this.tried.add(endpoint.id);
-    void this.attempt(endpoint, nowMs);
+    void this.runAttempt(endpoint, nowMs);
   }
 
   private explainNoEndpoint(): ServiceError {
@@ -163,7 +163,7 @@
     return createError('no-endpoint', `no endpoint of ${this.service}`);
   }
 
-  private async attempt(
+  private async runAttempt(
     endpoint: EndpointEntry,
     startedAtMs: number,
   ): Promise<void> {
--- /dev/null
+++ b/packages/core/src/batch/job_book.ts
@@ -0,0 +1,146 @@
+/**
+ * The batch jobs of a home: those that are open, and what ended ones have left
+ * for the jobs after them.
+ */
+import type {BatchJob, JobResult, RunEnd} from './batch_types';
+import {CarryOver, LingeringRun} from './carry_over';
+import {JobState} from './job_state';
+
+/** Attempts that an endpoint may fail where the route states none. */
+const DEFAULT_MAX_FAILURES = 3;
+
+/** What the route of a job says of it. */
+export interface JobBounds {
+  readonly service: string;
+  readonly maxAttempts: number;
+  readonly retentionMs: number;
+  /** Time from acceptance to the last result, in ms. */
+  readonly runDeadlineMs: number;
+}
+
+/** Finds the bounds of a job; undefined when its route is gone. */
+export type BoundsFinder = (job: BatchJob) => JobBounds | undefined;
+
+/** A job that was opened, and runs of earlier jobs that concern it. */
+export interface OpenedJob {
+  readonly state: JobState;
+  /** Runs that go on for it. */
+  readonly attached: readonly LingeringRun[];
+  /** Runs of its items that are of no use to it. */
+  readonly useless: readonly LingeringRun[];
+}
+
+/** Open jobs by id. */
+export class JobBook {
+  private readonly jobs = new Map<string, JobState>();
+  private readonly newest = new Map<string, number>();
+  private readonly work = new Map<string, number>();
+  /** Versions from a job to the one that has its left items, by model. */
+  private readonly versionLeads = new Map<string, number>();
+  readonly carryOver = CarryOver.create();
+
+  private constructor(readonly findBounds: BoundsFinder) {}
+
+  /** Builds a book without jobs. */
+  static create(findBounds: BoundsFinder): JobBook {
+    return new JobBook(findBounds);
+  }
+
+  /** Lists the open jobs. */
+  list(): JobState[] {
+    return [...this.jobs.values()];
+  }
+
+  /** Returns the newest version of each model. */
+  getNewest(): ReadonlyMap<string, number> {
+    return this.newest;
+  }
+
+  /** Returns the items of the last job of each model. */
+  getWork(): ReadonlyMap<string, number> {
+    return this.work;
+  }
+
+  /** Returns the oldest version under which spare items of a job are useful. */
+  computeSpareVersion(job: BatchJob): number {
+    return job.minVersion + (this.versionLeads.get(job.model) ?? 0);
+  }
+
+  /** Notes the newest version that a trainer has named. */
+  setNewest(model: string, version: number): void {
+    const known = this.newest.get(model) ?? 0;
+    if (version > known) this.newest.set(model, version);
+  }
+
+  /** Opens a job with the records that its log has. */
+  open(
+    job: BatchJob,
+    acceptedAtMs: number,
+    records: ReadonlyArray<readonly JobResult[]>,
+  ): OpenedJob {
+    const known = this.jobs.get(job.id);
+    if (known !== undefined) return {state: known, attached: [], useless: []};
+    const lead = this.carryOver.findVersionLead(job);
+    if (lead !== undefined) this.versionLeads.set(job.model, lead);
+    const carried = this.carryOver.findGroups(job);
+    const state = JobState.create(job, acceptedAtMs, carried);
+    for (const results of records) state.applyResults(results);
+    this.jobs.set(job.id, state);
+    this.work.set(job.model, job.items.length);
+    this.setNewest(job.model, job.minVersion);
+    return {state, ...this.carryOver.adoptInto(state)};
+  }
+
+  /** Takes up a job that has ended, for its readers and for later jobs. */
+  restoreEnded(
+    job: BatchJob,
+    acceptedAtMs: number,
+    records: ReadonlyArray<readonly JobResult[]>,
+  ): JobState {
+    const state = JobState.create(job, acceptedAtMs);
+    for (const results of records) state.applyResults(results);
+    state.isEnded = true;
+    this.carryOver.learnJob(state);
+    return state;
+  }
+
+  /** Ends a job: nothing of it starts from now on. */
+  end(id: string, nowMs: number): void {
+    const state = this.jobs.get(id);
+    if (state === undefined) return;
+    this.jobs.delete(id);
+    state.isEnded = true;
+    for (const item of state.items.values()) {
+      this.carryOver.leaveItem(item, state.job.minVersion, nowMs);
+    }
+  }
+
+  /** Finds the job whose item a run works on, or could work on. */
+  findJobOfRun(
+    runId: string,
+    jobId: string,
+    itemId: string,
+  ): JobState | undefined {
+    for (const state of this.jobs.values()) {
+      if (state.items.get(itemId)?.run?.runId === runId) return state;
+    }
+    const named = this.jobs.get(jobId);
+    return named?.items.get(itemId)?.phase === 'waiting' ? named : undefined;
+  }
+
+  /** Takes the end of a run. */
+  finishRun(
+    runId: string,
+    jobId: string,
+    itemId: string,
+    end: RunEnd,
+    nowMs: number,
+  ): void {
+    if (this.carryOver.finishRun(runId)) return;
+    const state = this.jobs.get(jobId);
+    if (state === undefined) return;
+    const bounds = this.findBounds(state.job);
+    const maxFailures = bounds?.maxAttempts ?? DEFAULT_MAX_FAILURES;
+    state.endRun(itemId, runId, end, nowMs, maxFailures);
+  }
+}
--- a/packages/core/src/batch/runner_state.ts
+++ b/packages/core/src/batch/runner_state.ts
@@ -2,6 +2,8 @@
  * What a home knows of one endpoint that runs items: its agent, its engine, the
  * runs there, and how fast it generates.
  */
+import type {ItemState} from './job_state';
+import {predictRemainingTokens} from './length_forecast';
 import {PaceMeter} from './pace_meter';
 import type {EngineState} from './run_messages';
 import type {RunnerView} from './start_plan';
@@ -94,6 +96,23 @@
     return reported ?? this.registration.versions.get(model) ?? 0;
   }
 
+  /** Follows a run from its start or its adoption on. */
+  follow(jobId: string, item: ItemState, runId: string, nowMs: number): void {
+    const {tokensPerEvent} = this.registration;
+    const made = item.events.length * tokensPerEvent;
+    const remaining = predictRemainingTokens(item, tokensPerEvent);
+    this.runs.set(runId, {
+      runId,
+      jobId,
+      itemId: item.item.id,
+      expectedMemory: item.item.promptTokens + made + remaining,
+      progressAtMs: undefined,
+      countedAtMs: undefined,
+      startedAtMs: nowMs,
+      isStopping: false,
+    });
+  }
+
   /** Tells whether a load is under way. */
   isLoading(): boolean {
     return this.pendingLoad !== undefined || this.engine?.isBusy === true;
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -167,12 +167,12 @@
         job,
         item,
         rank: rankGroup(group, wanted),
-        ...forecastItem(job, item),
+        ...predictItem(job, item),
       })),
   );
 }
 
-function forecastItem(job: JobView, item: ItemState) {
+function predictItem(job: JobView, item: ItemState) {
   const remaining = predictRemainingTokens(item, job.tokensPerEvent);
   const deadlineMs = job.state.acceptedAtMs + job.runDeadlineMs;
   const latestStartMs = deadlineMs - remaining * USUAL_MS_PER_TOKEN;
--- a/packages/core/src/calls/endpoint_pool.ts
+++ b/packages/core/src/calls/endpoint_pool.ts
@@ -139,7 +139,7 @@
   }
 
   /** Forgets endpoints that are not registered any more. */
-  retain(ids: ReadonlySet<string>): void {
+  forgetOthers(ids: ReadonlySet<string>): void {
     for (const [id, memory] of this.memories) {
       if (!ids.has(id) && memory.outstanding === 0) this.memories.delete(id);
     }
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -238,6 +238,11 @@
     level: 'info',
     meaning: 'The home sent an item of a batch job to an agent.',
   },
+  'job-removed': {
+    number: 516,
+    level: 'info',
+    meaning: 'A batch job was removed from the store after its time.',
+  },
   'version-published': {
     number: 600,
     level: 'info',
--- a/packages/jobs/src/home_election_runner.ts
+++ b/packages/jobs/src/home_election_runner.ts
@@ -98,7 +98,7 @@
 
   private async advance(): Promise<void> {
     const home = this.options.cluster.getHome()?.record;
-    this.noteEpoch(home);
+    this.trackEpoch(home);
     if (home !== undefined && !this.isOwn(home)) await this.probe(home);
     const step = this.decide(undefined);
     if (step === 'claim') await this.claim();
@@ -112,7 +112,7 @@
   }
 
   /** A new home has its time to answer from when it is first heard of. */
-  private noteEpoch(home: HomeRecord | undefined): void {
+  private trackEpoch(home: HomeRecord | undefined): void {
     const epoch = home?.epoch ?? 0;
     if (epoch === this.heardEpoch) return;
     this.heardEpoch = epoch;
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -1,49 +1,41 @@
 /**
- * The home of batch jobs with its I/O: takes calls of entries, follows the
- * agents, carries out what the scheduler plans, and writes results to the
- * store. Everything that lasts is in the store, so that another node can take
- * over at any moment.
+ * The home of batch jobs with its I/O: takes calls of entries, carries out what
+ * the scheduler plans, and writes results to the store. Everything that lasts
+ * is in the store, so that another node can take over at any moment.
  */
 import {
   BatchJob,
   BoundsFinder,
   Clock,
   HomeScheduler,
-  JobState,
-  RunnerOrders,
-  RunnerRegistration,
   ServiceError,
-  SyncAnswer,
   createError,
   restoreProgress,
 } from '@sassafrasspan/core';
 import type {PeerClient} from '@sassafrasspan/peers';
-import {
-  EventLog,
-  Metrics,
-  PeerAddress,
-  formatAddress,
-  waitMs,
-} from '@sassafrasspan/runtime';
+import {EventLog, Metrics, waitMs} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {AgentLink} from './agent_link';
-import type {JobLedger, KeptJob} from './job_ledger';
+import {AgentEntry, AgentLinks} from './agent_links';
+import type {JobHeader, JobLedger, KeptJob} from './job_ledger';
 import type {ItemCall, ReadCall, ResultsAnswer} from './job_messages';
 import {JobWriter} from './job_writer';
 import {ProgressWriter} from './progress_writer';
+import {ServedJob} from './served_job';
 
 /** Time between plans when nothing happens, in ms. */
 const PLAN_INTERVAL_MS = 50;
 /** Time before an end that the store did not take is written again, in ms. */
 const END_RETRY_MS = 500;
-/** Largest text of one answer to a read, in characters. */
-const MAX_ANSWER_CHARACTERS = 400_000;
-
-/** An agent and the endpoint beside it. */
-export interface AgentEntry {
-  readonly address: PeerAddress;
-  readonly registration: RunnerRegistration;
-}
+/** Time between looks for jobs that need not be kept, in ms. */
+const SWEEP_INTERVAL_MS = 2_000;
+/** Time for which an ended job stays in memory after it was last read, in ms;
+ * later readers have it read from the store again. */
+const MEMORY_MS = 15_000;
+/** Age of ended jobs that a new home still learns from, in ms: trainers have
+ * two jobs under way. */
+const LEARN_AGE_MS = 20_000;
+/** Jobs of a model that a new home learns from. */
+const LEARNT_JOBS = 2;
 
 /** What a home is built from. */
 export interface HomeNodeOptions {
@@ -53,6 +45,8 @@
   readonly ledger: JobLedger;
   readonly peers: PeerClient;
   readonly findBounds: BoundsFinder;
+  /** Time from acceptance for which results can be read, in ms. */
+  readonly keepMs: number;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
@@ -60,44 +54,23 @@
   readonly onSuperseded: (detail: string) => void;
 }
 
-/** A job with what the home does for it. */
-interface ServedJob {
-  readonly state: JobState;
-  readonly writer: JobWriter;
-  readonly progress: ProgressWriter;
-  readonly waiters: Set<() => void>;
-}
-
-/** A link to an agent. */
-interface ServedAgent {
-  readonly link: AgentLink;
-  readonly address: string;
-  incarnation: string;
-}
-
-/** A run whose result is not in the store yet. */
-interface UnsafeRun {
-  readonly endpointId: string;
-  readonly runId: string;
-}
+/** Result of a call. */
+type HomeAnswer<T> = Promise<Result<T, ServiceError>>;
 
 /** The home of batch jobs. */
 export class HomeNode {
   private readonly scheduler: HomeScheduler;
+  private readonly links: AgentLinks;
   private readonly jobs = new Map<string, ServedJob>();
-  private readonly agents = new Map<string, ServedAgent>();
-  /** Runs whose results wait for the store, by item. */
-  private readonly unsafeRuns = new Map<string, UnsafeRun>();
-  private readonly opening = new Map<
-    string,
-    Promise<Result<object, ServiceError>>
-  >();
+  /** Jobs whose objects are in the store, with their time of acceptance. */
+  private readonly kept = new Map<string, number>();
+  private readonly opening = new Map<string, HomeAnswer<object>>();
   /** Jobs whose end the store does not know yet. */
   private readonly unkeptEnds = new Set<string>();
   private isStopped = false;
   private runCount = 0;
   private isPlanned = false;
-  private timer: NodeJS.Timeout | undefined;
+  private timers: NodeJS.Timeout[] = [];
 
   private constructor(private readonly options: HomeNodeOptions) {
     this.scheduler = HomeScheduler.create({
@@ -105,6 +78,17 @@
       epoch: options.epoch,
       createRunId: () => `${options.epoch}.${(this.runCount += 1)}`,
     });
+    const {name, epoch, peers, clock, log, onSuperseded} = options;
+    this.links = AgentLinks.create({
+      name,
+      epoch,
+      scheduler: this.scheduler,
+      peers,
+      clock,
+      log,
+      onSuperseded,
+      onChanged: () => this.requestPlan(),
+    });
   }
 
   /** Builds a home that has not started. */
@@ -113,12 +97,14 @@
   }
 
   /** Takes up the jobs that the store keeps. */
-  async start(): Promise<Result<void, ServiceError>> {
+  async start(): HomeAnswer<void> {
     const headers = await this.options.ledger.listJobs();
     if (headers.isErr()) return err(headers.error);
-    const open = headers.value
-      .filter(header => !header.isEnded)
-      .sort((a, b) => a.acceptedAtMs - b.acceptedAtMs);
+    const sorted = [...headers.value].sort(
+      (a, b) => a.acceptedAtMs - b.acceptedAtMs,
+    );
+    for (const {id, acceptedAtMs} of sorted) this.kept.set(id, acceptedAtMs);
+    const open = sorted.filter(header => !header.isEnded);
     const jobs = await Promise.all(
       open.map(header => this.options.ledger.readJob(header.id)),
     );
@@ -126,18 +112,35 @@
       if (job.isErr()) return err(job.error);
       if (job.value !== undefined) this.serveJob(job.value);
     }
-    this.timer = setInterval(() => this.planNow(), PLAN_INTERVAL_MS);
+    this.timers = [
+      setInterval(() => this.planNow(), PLAN_INTERVAL_MS),
+      setInterval(() => this.sweepJobs(), SWEEP_INTERVAL_MS),
+    ];
+    void this.learnEnded(sorted);
     return ok(undefined);
   }
 
+  /** Learns from the last ended jobs which items later ones may have again. */
+  private async learnEnded(headers: readonly JobHeader[]): Promise<void> {
+    const sinceMs = this.options.clock.readWallMs() - LEARN_AGE_MS;
+    const counts = new Map<string, number>();
+    for (const header of [...headers].reverse()) {
+      if (!header.isEnded || header.acceptedAtMs < sinceMs) continue;
+      const count = counts.get(header.model) ?? 0;
+      if (count >= LEARNT_JOBS || this.isStopped) continue;
+      counts.set(header.model, count + 1);
+      await this.findJob(header.id);
+    }
+  }
+
   /** Stops at once; runs go on at the agents. */
   stop(): void {
     this.isStopped = true;
-    clearInterval(this.timer);
-    for (const {link} of this.agents.values()) link.stop();
-    for (const {writer, waiters} of this.jobs.values()) {
-      writer.stop();
-      for (const wake of waiters) wake();
+    for (const timer of this.timers) clearInterval(timer);
+    this.links.stop();
+    for (const job of this.jobs.values()) {
+      job.writer.stop();
+      job.wakeReaders();
     }
   }
 
@@ -148,18 +151,7 @@
 
   /** Sets the agents and their endpoints. */
   setAgents(entries: readonly AgentEntry[]): void {
-    this.scheduler.setRunners(
-      entries.map(entry => entry.registration),
-      this.readMs(),
-    );
-    const ids = new Set(entries.map(item => item.registration.endpointId));
-    for (const [id, agent] of this.agents) {
-      if (ids.has(id)) continue;
-      agent.link.stop();
-      this.agents.delete(id);
-    }
-    for (const entry of entries) this.linkAgent(entry);
-    this.requestPlan();
+    this.links.setAgents(entries);
   }
 
   /** Notes the newest version that a trainer has named. */
@@ -169,7 +161,7 @@
   }
 
   /** Accepts a job: once, and only when the store keeps it. */
-  submit(job: BatchJob): Promise<Result<object, ServiceError>> {
+  submit(job: BatchJob): HomeAnswer<object> {
     const known = this.opening.get(job.id);
     if (known !== undefined) return known;
     const opened = this.open(job).finally(() => this.opening.delete(job.id));
@@ -177,29 +169,23 @@
     return opened;
   }
 
-  private async open(job: BatchJob): Promise<Result<object, ServiceError>> {
+  private async open(job: BatchJob): HomeAnswer<object> {
     if (this.jobs.has(job.id)) return ok({});
-    const created = await this.options.ledger.createJob(job);
+    const {ledger, log, epoch} = this.options;
+    const {id: requestId, step, minVersion} = job;
+    const created = await ledger.createJob(job);
     if (created.isErr()) {
       const {kind, detail} = created.error;
-      this.options.log.writeEvent('job-refused', {
-        requestId: job.id,
-        kind,
-        detail,
-      });
+      log.writeEvent('job-refused', {requestId, kind, detail});
       return err(created.error);
     }
     if (!created.value) {
       const served = await this.findJob(job.id);
       return served.map(() => ({}));
     }
-    this.options.log.writeEvent('job-accepted', {
-      requestId: job.id,
-      items: job.items.length,
-      step: job.step,
-      minVersion: job.minVersion,
-      epoch: this.options.epoch,
-    });
+    const items = job.items.length;
+    const fields = {requestId, items, step, minVersion, epoch};
+    log.writeEvent('job-accepted', fields);
     const progress = {items: []};
     this.serveJob({job, records: [], isEnded: false, progress});
     this.planNow();
@@ -207,24 +193,17 @@
   }
 
   /** Reads results from a position on; may wait for the first. */
-  async read(
-    call: ReadCall,
-    signal: AbortSignal,
-  ): Promise<Result<ResultsAnswer, ServiceError>> {
-    const served = await this.findJob(call.jobId);
+  async read(call: ReadCall, signal: AbortSignal): HomeAnswer<ResultsAnswer> {
+    const {jobId, after, waitMs: limitMs} = call;
+    const served = await this.findJob(jobId);
     if (served.isErr()) return err(served.error);
-    const {state} = served.value;
-    if (call.after >= state.results.length && !state.isEnded) {
-      await waitForResult(served.value, call.waitMs, signal);
-    }
-    return ok({
-      total: state.items.size,
-      results: limitAnswer(state.results.slice(call.after)),
-    });
+    await served.value.waitForResult(after, limitMs, signal);
+    const results = served.value.listResults(after);
+    return ok({total: served.value.state.items.size, results});
   }
 
-  /** Reads the body of an item that is not listed. */
-  async readItem(call: ItemCall): Promise<Result<object, ServiceError>> {
+  /** Reads the body of an item. */
+  async readItem(call: ItemCall): HomeAnswer<object> {
     const served = await this.findJob(call.jobId);
     if (served.isErr()) return err(served.error);
     const item = served.value.state.items.get(call.itemId);
@@ -235,7 +214,7 @@
   }
 
   /** Ends a job; confirmed when the store knows it. */
-  async end(jobId: string): Promise<Result<object, ServiceError>> {
+  async end(jobId: string): HomeAnswer<object> {
     const served = await this.findJob(jobId);
     if (served.isErr()) return err(served.error);
     if (!served.value.state.isEnded) {
@@ -265,9 +244,12 @@
   }
 
   /** Finds a job here or in the store. */
-  private async findJob(id: string): Promise<Result<ServedJob, ServiceError>> {
+  private async findJob(id: string): HomeAnswer<ServedJob> {
     const known = this.jobs.get(id);
-    if (known !== undefined) return ok(known);
+    if (known !== undefined) {
+      known.usedAtMs = this.readMs();
+      return ok(known);
+    }
     const kept = await this.options.ledger.readJob(id);
     if (kept.isErr()) return err(kept.error);
     if (kept.value === undefined) {
@@ -279,116 +261,73 @@
   }
 
   private serveJob(kept: KeptJob): ServedJob {
-    const {job, records} = kept;
-    const {clock} = this.options;
+    const {job, records, isEnded} = kept;
+    const {clock, ledger, log, name, incarnation, findBounds} = this.options;
     const ageMs = Math.max(0, clock.readWallMs() - job.acceptedAtMs);
     const acceptedAtMs = this.readMs() - ageMs;
     const results = records.map(record => record.results);
-    const state = kept.isEnded
+    const state = isEnded
       ? this.scheduler.restoreEnded(job, acceptedAtMs, results)
       : this.scheduler.openJob(job, acceptedAtMs, results);
-    const waiters = new Set<() => void>();
+    if (!isEnded) restoreProgress(state, kept.progress);
     const writer = JobWriter.create({
       state,
-      ledger: this.options.ledger,
-      writer: `${this.options.name}/${this.options.incarnation}`,
-      findRunDeadline: () =>
-        this.options.findBounds(job)?.runDeadlineMs ?? Infinity,
-      clock: this.options.clock,
-      log: this.options.log,
-      onListed: results => {
-        for (const {itemId} of results) this.releaseRun(itemId);
-        for (const wake of waiters) wake();
-      },
-    });
-    if (!kept.isEnded) restoreProgress(state, kept.progress);
-    const progress = ProgressWriter.create({
-      state,
-      ledger: this.options.ledger,
+      ledger,
+      writer: `${name}/${incarnation}`,
+      findRunDeadline: () => findBounds(job)?.runDeadlineMs ?? Infinity,
       clock,
+      log,
+      onListed: listed => {
+        this.links.release(listed.map(result => result.itemId));
+        served.wakeReaders();
+      },
     });
-    const served = {state, writer, progress, waiters};
+    const progress = ProgressWriter.create({state, ledger, clock});
+    const served: ServedJob = ServedJob.create(state, writer, progress);
+    served.usedAtMs = this.readMs();
     this.jobs.set(job.id, served);
+    this.kept.set(job.id, job.acceptedAtMs);
     if (records.length > 0) {
       const fields = {requestId: job.id, results: state.results.length};
-      this.options.log.writeEvent('job-adopted', fields);
+      log.writeEvent('job-adopted', {...fields, isEnded});
     }
     return served;
   }
 
   private reportEnd(served: ServedJob): void {
-    const {state, waiters} = served;
-    for (const id of state.items.keys()) this.releaseRun(id);
+    const {state} = served;
+    this.links.release(state.items.keys());
     this.options.log.writeEvent('job-ended', {
       requestId: state.job.id,
       results: state.results.length,
       groups: state.countWholeGroups(),
     });
-    for (const wake of waiters) wake();
+    served.wakeReaders();
   }
 
-  private linkAgent(entry: AgentEntry): void {
-    const {endpointId} = entry.registration;
-    const address = formatAddress(entry.address);
-    const known = this.agents.get(endpointId);
-    if (known?.address === address) return;
-    known?.link.stop();
-    const {name, epoch, peers, clock, log} = this.options;
-    const link = AgentLink.create({
-      address: entry.address,
-      home: name,
-      epoch,
-      peers,
-      clock,
-      onSynced: answer => this.applySync(endpointId, answer),
-      onLost: detail => {
-        log.writeEvent('agent-lost', {endpoint: endpointId, detail});
-        this.scheduler.loseRunner(endpointId, this.readMs());
-        this.requestPlan();
-      },
-      onSuperseded: detail => this.options.onSuperseded(detail),
-    });
-    this.agents.set(endpointId, {link, address, incarnation: ''});
-    void link.run();
-  }
-
-  private applySync(endpointId: string, answer: SyncAnswer): void {
-    const agent = this.agents.get(endpointId);
-    if (agent === undefined) return;
-    if (agent.incarnation !== answer.incarnation) {
-      const {log} = this.options;
-      log.writeEvent('agent-found', {endpoint: endpointId});
-      if (agent.incarnation !== '') {
-        this.scheduler.loseRunner(endpointId, this.readMs());
-      }
-      agent.incarnation = answer.incarnation;
+  /** Lets ended jobs go, from memory and later from the store. */
+  private sweepJobs(): void {
+    const nowMs = this.readMs();
+    for (const [id, {state, usedAtMs}] of this.jobs) {
+      const isIdle = nowMs - usedAtMs > MEMORY_MS;
+      if (state.isEnded && isIdle) this.jobs.delete(id);
     }
-    const {updates, engine} = answer;
-    this.scheduler.applySync(endpointId, updates, engine, this.readMs());
-    for (const {runId, itemId, end} of updates) {
-      if (end === undefined) continue;
-      const isUnsafe = end === 'completed' && this.isWaiting(itemId);
-      if (isUnsafe) this.unsafeRuns.set(itemId, {endpointId, runId});
-      else agent.link.release([runId]);
+    const endMs = this.options.clock.readWallMs() - this.options.keepMs;
+    for (const [id, acceptedAtMs] of this.kept) {
+      if (acceptedAtMs >= endMs) continue;
+      // A trainer that never ended its job will not read it any more.
+      this.scheduler.endJob(id, nowMs);
+      this.jobs.delete(id);
+      void this.removeJob(id);
     }
-    for (const {state, writer} of this.jobs.values()) {
-      if (!state.isEnded) writer.schedule();
-    }
-    this.requestPlan();
-  }
-
-  /** Tells whether a finished item waits for its place in a log. */
-  private isWaiting(itemId: string): boolean {
-    return this.scheduler
-      .listOpenJobs()
-      .some(state => state.items.get(itemId)?.phase === 'finished');
   }
 
-  private releaseRun(itemId: string): void {
-    const run = this.unsafeRuns.get(itemId);
-    if (run === undefined) return;
-    this.unsafeRuns.delete(itemId);
-    this.agents.get(run.endpointId)?.link.release([run.runId]);
+  private async removeJob(id: string): Promise<void> {
+    const acceptedAtMs = this.kept.get(id) ?? 0;
+    this.kept.delete(id);
+    const removed = await this.options.ledger.removeJob(id);
+    if (removed.isErr()) this.kept.set(id, acceptedAtMs);
+    else this.options.log.writeEvent('job-removed', {requestId: id});
   }
 
   private requestPlan(): void {
@@ -399,69 +338,14 @@
 
   private planNow(): void {
     this.isPlanned = false;
-    for (const {state, progress} of this.jobs.values()) {
-      if (!state.isEnded) void progress.advance();
+    if (this.isStopped) return;
+    for (const {state, writer, progress} of this.jobs.values()) {
+      if (state.isEnded) continue;
+      writer.schedule();
+      void progress.advance();
     }
     for (const orders of this.scheduler.plan(this.readMs())) {
-      this.reportOrders(orders);
-      void this.sendOrders(orders);
-    }
-  }
-
-  private reportOrders(orders: RunnerOrders): void {
-    const {log, epoch} = this.options;
-    for (const [index, start] of orders.starts.entries()) {
-      const {itemId, jobId, runId, endpointId, prior} = start;
-      log.writeEvent('item-started', {
-        requestId: itemId,
-        job: jobId,
-        run: runId,
-        endpoint: endpointId,
-        firstEvent: prior.length,
-        epoch,
-        ...orders.reasons[index],
-      });
-    }
-  }
-
-  private async sendOrders(orders: RunnerOrders): Promise<void> {
-    const agent = this.agents.get(orders.endpointId);
-    const isSent = (await agent?.link.send(orders)) ?? false;
-    if (isSent) return;
-    for (const {runId, itemId} of orders.starts) {
-      this.scheduler.abandonStart(runId, itemId, this.readMs());
+      void this.links.send(orders);
     }
-    this.requestPlan();
-  }
-}
-
-/** Waits until a job has a new result or has ended, at most for a time. */
-function waitForResult(
-  served: ServedJob,
-  limitMs: number,
-  signal: AbortSignal,
-): Promise<void> {
-  if (limitMs <= 0) return Promise.resolve();
-  return new Promise(resolve => {
-    const finish = () => {
-      clearTimeout(timer);
-      served.waiters.delete(finish);
-      signal.removeEventListener('abort', finish);
-      resolve();
-    };
-    const timer = setTimeout(finish, limitMs);
-    served.waiters.add(finish);
-    signal.addEventListener('abort', finish, {once: true});
-  });
-}
-
-function limitAnswer(results: ResultsAnswer['results']) {
-  const limited: ResultsAnswer['results'] = [];
-  let characters = 0;
-  for (const result of results) {
-    characters += result.text.length;
-    if (characters > MAX_ANSWER_CHARACTERS && limited.length > 0) break;
-    limited.push(result);
   }
-  return limited;
 }
--- a/packages/jobs/src/job_ledger.ts
+++ b/packages/jobs/src/job_ledger.ts
@@ -68,6 +68,7 @@
 /** What a list of jobs tells of one. */
 export interface JobHeader {
   readonly id: string;
+  readonly model: string;
   readonly acceptedAtMs: number;
   readonly isEnded: boolean;
 }
@@ -123,6 +124,7 @@
         .filter(header => header !== undefined)
         .map(({header, isEnded}) => ({
           id: header.id,
+          model: header.model,
           acceptedAtMs: header.acceptedAtMs,
           isEnded,
         })),
--- /dev/null
+++ b/packages/jobs/src/served_job.ts
@@ -0,0 +1,67 @@
+/** A batch job at its home, with what is written and who waits for it. */
+import type {JobResult, JobState} from '@sassafrasspan/core';
+import type {JobWriter} from './job_writer';
+import type {ProgressWriter} from './progress_writer';
+
+/** Largest text of one answer to a read, in characters. */
+const MAX_ANSWER_CHARACTERS = 400_000;
+
+/** A job with its writers. */
+export class ServedJob {
+  /** When it was last asked for, on the monotonic clock. */
+  usedAtMs = 0;
+  private readonly waiters = new Set<() => void>();
+
+  private constructor(
+    readonly state: JobState,
+    readonly writer: JobWriter,
+    readonly progress: ProgressWriter,
+  ) {}
+
+  /** Builds a job that nobody waits for. */
+  static create(
+    state: JobState,
+    writer: JobWriter,
+    progress: ProgressWriter,
+  ): ServedJob {
+    return new ServedJob(state, writer, progress);
+  }
+
+  /** Wakes the readers that wait. */
+  wakeReaders(): void {
+    for (const wake of [...this.waiters]) wake();
+  }
+
+  /** Waits for a result from a position on, at most for a time in ms. */
+  async waitForResult(
+    after: number,
+    limitMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (after < this.state.results.length || this.state.isEnded) return;
+    if (limitMs <= 0) return;
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        clearTimeout(timer);
+        this.waiters.delete(finish);
+        signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      const timer = setTimeout(finish, limitMs);
+      this.waiters.add(finish);
+      signal.addEventListener('abort', finish, {once: true});
+    });
+  }
+
+  /** Returns results from a position on, as many as one answer holds. */
+  listResults(after: number): JobResult[] {
+    const limited: JobResult[] = [];
+    let characters = 0;
+    for (const result of this.state.results.slice(after)) {
+      characters += result.text.length;
+      if (characters > MAX_ANSWER_CHARACTERS && limited.length > 0) break;
+      limited.push(result);
+    }
+    return limited;
+  }
+}
--- a/packages/runs/src/weight_loader.ts
+++ b/packages/runs/src/weight_loader.ts
@@ -61,7 +61,7 @@
     if (order === undefined || report.isBusy || this.isWorking) return;
     if (nowMs < this.waitUntilMs) return;
     this.isWorking = true;
-    await this.give(order, report);
+    await this.sendOrder(order, report);
     this.isWorking = false;
   }
 
@@ -72,7 +72,10 @@
     this.options.log.writeEvent('swap-finished', {model, version});
   }
 
-  private async give(order: LoadOrder, report: EngineReport): Promise<void> {
+  private async sendOrder(
+    order: LoadOrder,
+    report: EngineReport,
+  ): Promise<void> {
     const {control, holder, log} = this.options;
     const {endpointId, model, version, fencingNumber} = order;
     const {orderSequence} = report;
--- a/packages/runtime/src/bounded_output.ts
+++ b/packages/runtime/src/bounded_output.ts
@@ -53,7 +53,7 @@
 
   /** Writes a line, or drops it. */
   write(line: string): boolean {
-    this.refill();
+    this.addTokens();
     const isSlow = this.target.writableLength > MAX_WAITING_BYTES;
     if (this.tokens < 1 || isSlow) {
       this.droppedLines += 1;
@@ -70,7 +70,7 @@
     return this.droppedLines;
   }
 
-  private refill(): void {
+  private addTokens(): void {
     const nowMs = this.readMs();
     const earned =
       ((nowMs - this.refilledAtMs) * this.bounds.linesPerSecond) /
