--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -153,6 +153,11 @@
     level: 'warn',
     meaning: 'An agent does not answer the home; its runs go elsewhere.',
   },
+  'vm-retired': {
+    number: 310,
+    level: 'info',
+    meaning: 'A storage VM that was asked to be emptied keeps nothing.',
+  },
   'rules-in-force': {
     number: 400,
     level: 'info',
