--- a/packages/peers/src/cluster_watch.ts
+++ b/packages/peers/src/cluster_watch.ts
@@ -12,6 +12,7 @@
 } from '@sassafrasspan/platform';
 import {EventLog, waitMs} from '@sassafrasspan/runtime';
 import * as z from 'zod/mini';
+import type {HubListener} from './watch_hub';
 
 /** Kind of the objects of the cluster. */
 export const CLUSTER_KIND = 'sassafrasspan';
@@ -19,7 +20,7 @@
 export const HOME_NAME = 'home';
 const NODE_PREFIX = 'node.';
 /** Longest wait of a watch, in ms. */
-const WATCH_WAIT_MS = 5_000;
+export const CLUSTER_WATCH_WAIT_MS = 5_000;
 /** Least time between two calls of the watch, in ms. */
 const WATCH_PACE_MS = 300;
 /** Time before a failed registration is tried again, in ms. */
@@ -52,6 +53,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
+  /** Takes what the watch brings, for other nodes. */
+  readonly hub?: HubListener;
   /** Hears of every change. */
   readonly onChanged: () => void;
 }
@@ -73,15 +76,18 @@
     this.watch = KindWatch.create({
       ...options,
       kind: CLUSTER_KIND,
-      waitMs: WATCH_WAIT_MS,
+      waitMs: CLUSTER_WATCH_WAIT_MS,
       paceMs: WATCH_PACE_MS,
-      onListed: objects => {
+      onListed: (objects, storeVersion) => {
+        options.hub?.onListed(objects, storeVersion);
         this.nodes.clear();
         for (const object of objects) this.applyObject(object);
         this.isListed = true;
         options.onChanged();
       },
-      onChanged: changes => {
+      onChanged: (changes, storeVersion) => {
+        options.hub?.onChanged(changes, storeVersion);
+        if (changes.length === 0) return;
         for (const {object, isRemoved} of changes) {
           if (isRemoved) this.nodes.delete(object.name);
           else this.applyObject(object);
--- a/packages/peers/src/relayed_store.ts
+++ b/packages/peers/src/relayed_store.ts
@@ -24,6 +24,7 @@
 import * as z from 'zod/mini';
 import type {PeerClient} from './peer_client';
 import {PeerRoutes, createHandler} from './peer_server';
+import {HUB_PATHS} from './watch_hub';
 
 const RELAY_PATH = '/store/relay';
 /** Nodes that are asked before the store counts as away. */
@@ -31,6 +32,28 @@
 /** Time for a relayed call beyond its wait, in ms. */
 const RELAY_TIMEOUT_MS = 1_100;
 
+/** Time for an answer of the hub beyond its wait, in ms. */
+const HUB_TIMEOUT_MS = 300;
+/** Time for which a kind is not asked of a hub that failed, in ms. */
+const HUB_AVOID_MS = 1_500;
+
+const OBJECT_SCHEMA = z.object({
+  name: z.string(),
+  version: z.number(),
+  value: z.unknown(),
+  status: z.optional(z.unknown()),
+});
+
+const LISTING_SCHEMA: z.ZodMiniType<CollectionListing> = z.object({
+  objects: z.array(OBJECT_SCHEMA),
+  storeVersion: z.number(),
+}) as unknown as z.ZodMiniType<CollectionListing>;
+
+const CHANGES_SCHEMA = z.object({
+  changes: z.array(z.object({object: OBJECT_SCHEMA, isRemoved: z.boolean()})),
+  storeVersion: z.number(),
+}) as unknown as z.ZodMiniType<CollectionChanges>;
+
 /** Errors that say nothing of the store's answer. */
 const NO_ANSWER_KINDS: ReadonlySet<string> = new Set([
   'platform-down',
@@ -123,6 +146,8 @@
 export interface RelayedStoreOptions {
   readonly direct: ObjectCollections;
   readonly peers: PeerClient;
+  /** Finds the node that follows kinds for others; undefined for none. */
+  readonly findHub: () => PeerAddress | undefined;
   /** Lists the nodes that can relay. */
   readonly listRelays: () => readonly PeerAddress[];
   readonly clock: Clock;
@@ -133,6 +158,7 @@
 /** The store by whichever way works. */
 export class RelayedStore implements ObjectCollections {
   private readonly path = StorePath.create();
+  private readonly hubAvoidedUntilMs = new Map<string, number>();
 
   private constructor(private readonly options: RelayedStoreOptions) {}
 
@@ -159,18 +185,26 @@
     return this.run({operation: 'read', kind, name});
   }
 
-  listObjects(
+  async listObjects(
     kind: string,
     options: ListOptions = {},
   ): StoreResult<CollectionListing> {
+    const found = await this.askHub(HUB_PATHS.list, {kind}, LISTING_SCHEMA, 0);
+    if (found?.isOk()) return ok(found.value);
     return this.run({operation: 'list', kind, ...options});
   }
 
-  watchObjects(
+  async watchObjects(
     kind: string,
     storeVersion: number,
     waitMs: number,
   ): StoreResult<CollectionChanges> {
+    const call = {kind, storeVersion, waitMs};
+    const {watch} = HUB_PATHS;
+    const found = await this.askHub(watch, call, CHANGES_SCHEMA, waitMs);
+    if (found?.isOk()) return ok(found.value);
+    const isGone = found?.isErr() && found.error.kind === 'history-gone';
+    if (isGone) return err(found.error);
     return this.run({operation: 'watch', kind, storeVersion, waitMs}, waitMs);
   }
 
@@ -203,6 +237,32 @@
     return this.run({operation: 'remove', kind, name});
   }
 
+  /**
+   * Asks the hub, unless it has failed lately; undefined for no hub. A kind
+   * that it does not follow is asked of the store for a while.
+   */
+  private async askHub<T>(
+    path: string,
+    body: {readonly kind: string},
+    schema: z.ZodMiniType<T>,
+    waitMs: number,
+  ): Promise<Result<T, ServiceError> | undefined> {
+    const hub = this.options.findHub();
+    const avoidUntilMs = this.hubAvoidedUntilMs.get(body.kind) ?? -Infinity;
+    if (hub === undefined || this.readMs() < avoidUntilMs) return undefined;
+    const reply = await this.options.peers.call({
+      address: hub,
+      path,
+      body,
+      schema,
+      timeoutMs: waitMs + HUB_TIMEOUT_MS,
+    });
+    const isAnswer = reply.isOk() || reply.error.kind === 'history-gone';
+    const untilMs = isAnswer ? -Infinity : this.readMs() + HUB_AVOID_MS;
+    this.hubAvoidedUntilMs.set(body.kind, untilMs);
+    return reply;
+  }
+
   private async run<T>(call: RelayedCall, waitMs = 0): StoreResult<T> {
     let last: ServiceError = createError(
       'platform-down',
--- a/packages/platform/src/kind_watch.ts
+++ b/packages/platform/src/kind_watch.ts
@@ -32,9 +32,15 @@
   /** Least time between two calls, in ms; collects changes into one call. */
   readonly paceMs: number;
   /** Takes a complete list. */
-  readonly onListed: (objects: readonly CollectionObject[]) => void;
-  /** Takes changes, in order. */
-  readonly onChanged: (changes: readonly CollectionChange[]) => void;
+  readonly onListed: (
+    objects: readonly CollectionObject[],
+    storeVersion: number,
+  ) => void;
+  /** Takes changes, in order; also none, when a wait has passed. */
+  readonly onChanged: (
+    changes: readonly CollectionChange[],
+    storeVersion: number,
+  ) => void;
   /** Hears that the store does not answer. */
   readonly onAway?: () => void;
   /** Hears that the store answers again, before the list that follows. */
@@ -86,7 +92,7 @@
     if (listing.isErr()) return this.recordFailure(listing.error.detail);
     this.recordAnswer();
     this.storeVersion = listing.value.storeVersion;
-    onListed(listing.value.objects);
+    onListed(listing.value.objects, this.storeVersion);
     return true;
   }
 
@@ -101,7 +107,7 @@
     }
     this.recordAnswer();
     this.storeVersion = found.value.storeVersion;
-    if (found.value.changes.length > 0) onChanged(found.value.changes);
+    onChanged(found.value.changes, this.storeVersion);
     return true;
   }
 
