--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -14,6 +14,8 @@
   /** Headers that go on to the endpoint. */
   readonly headers: HeaderFields;
   readonly body: Buffer;
+  /** Whether an endpoint may run it more than once. */
+  readonly mayRepeat: boolean;
   /** When the caller gives up, on the entry's monotonic clock. */
   readonly deadlineAtMs: number;
   /** Aborts when the caller has gone. */
--- /dev/null
+++ b/packages/core/src/fleet/fleet.test.ts
@@ -0,0 +1,176 @@
+/** Endpoints, paths to the store and the election, each against its load. */
+import {EndpointDirectory, EndpointEntry} from './endpoint_directory';
+import {ElectionView, decideElection} from './home_election';
+import {StorePath} from './store_path';
+
+function createEntry(
+  id: string,
+  changes: Partial<EndpointEntry> = {},
+): EndpointEntry {
+  return {
+    id,
+    service: 's',
+    address: `10.0.0.1:${id.length}`,
+    failureDomain: 'a',
+    slots: 4,
+    isDraining: false,
+    coldMs: 0,
+    bornMs: 1,
+    versions: new Map(),
+    ...changes,
+  };
+}
+
+function listIds(directory: EndpointDirectory): string[] {
+  return directory.listUsable('s').map(entry => entry.id);
+}
+
+test('an entry that lapses in an outage has time to come back', () => {
+  const directory = EndpointDirectory.create();
+  directory.replaceAll([createEntry('a'), createEntry('bb')], 0);
+  directory.markStoreAway();
+  directory.markStoreBack(10_000);
+  directory.replaceAll([createEntry('a')], 10_010);
+  const during = listIds(directory);
+  const dropped = [directory.dropLapsed(11_900), directory.dropLapsed(12_000)];
+  expect({during, dropped, after: listIds(directory)}).toEqual({
+    during: ['a', 'bb'],
+    dropped: [[], ['bb']],
+    after: ['a'],
+  });
+});
+
+test('without an outage a missing entry is gone at once', () => {
+  const directory = EndpointDirectory.create();
+  directory.replaceAll([createEntry('a'), createEntry('bb')], 0);
+  directory.remove('bb', 100);
+  expect(listIds(directory)).toEqual(['a']);
+});
+
+test('a draining endpoint gets nothing, and is not kept as lapsed', () => {
+  const directory = EndpointDirectory.create();
+  directory.put(createEntry('a', {isDraining: true}));
+  directory.markStoreAway();
+  directory.markStoreBack(0);
+  directory.remove('a', 10);
+  expect(directory.listAll()).toEqual([]);
+});
+
+test('the endpoint at an address is the one that started last', () => {
+  const directory = EndpointDirectory.create();
+  const address = '10.0.0.9:80';
+  directory.put(createEntry('new', {address, bornMs: 9}));
+  directory.put(createEntry('old', {address, bornMs: 3}));
+  expect(directory.findByAddress(address)?.id).toBe('new');
+});
+
+test('a cut path is avoided for a while, and a store that is away probed', () => {
+  const path = StorePath.create();
+  const seen: Array<[number, string]> = [];
+  const look = (nowMs: number) =>
+    seen.push([nowMs, path.listWays(nowMs).join(', ') || 'none']);
+  look(0);
+  path.recordCut(0);
+  look(10);
+  look(401);
+  path.recordCut(401);
+  path.recordAway(420);
+  look(430);
+  look(1_030);
+  path.recordDirect();
+  look(1_040);
+  expect(seen).toMatchInlineSnapshot(`
+    [
+      [
+        0,
+        "direct, relayed",
+      ],
+      [
+        10,
+        "relayed",
+      ],
+      [
+        401,
+        "direct, relayed",
+      ],
+      [
+        430,
+        "none",
+      ],
+      [
+        1030,
+        "direct, relayed",
+      ],
+      [
+        1040,
+        "direct, relayed",
+      ],
+    ]
+  `);
+});
+
+const HOME = {node: 'h1', incarnation: 'x', address: 'h1:1', epoch: 4};
+
+function decide(changes: Partial<ElectionView>) {
+  return decideElection({
+    nowMs: 10_000,
+    ownName: 'h2',
+    ownIncarnation: 'y',
+    home: HOME,
+    heardAtMs: 9_900,
+    isRefused: false,
+    rank: 0,
+    isDraining: false,
+    witnesses: undefined,
+    ...changes,
+  });
+}
+
+test('a home is replaced only when agents do not hear it either', () => {
+  const silent = {heardAtMs: 9_000};
+  expect({
+    heard: decide({}),
+    silent: decide(silent),
+    'silent, but an agent hears it': decide({
+      ...silent,
+      witnesses: [{epoch: 4, agoMs: 100}],
+    }),
+    'silent, a later home is known to an agent': decide({
+      ...silent,
+      witnesses: [{epoch: 5, agoMs: 10}],
+    }),
+    'silent to all': decide({
+      ...silent,
+      witnesses: [{epoch: 4, agoMs: 2_000}],
+    }),
+    'silent, no agent answers': decide({...silent, witnesses: []}),
+    'long silent, no agent answers': decide({
+      heardAtMs: 1_000,
+      witnesses: [],
+    }),
+    'refused, second in rank': decide({
+      heardAtMs: 9_900,
+      isRefused: true,
+      rank: 1,
+    }),
+    'own record of an earlier life': decide({
+      home: {...HOME, node: 'h2', incarnation: 'old'},
+    }),
+    draining: decide({...silent, isDraining: true, witnesses: []}),
+    'no home yet': decide({home: undefined, heardAtMs: 10_000}),
+  }).toMatchInlineSnapshot(`
+    {
+      "draining": "follow",
+      "heard": "follow",
+      "long silent, no agent answers": "claim",
+      "no home yet": "claim",
+      "own record of an earlier life": "claim",
+      "refused, second in rank": "follow",
+      "silent": "ask-witnesses",
+      "silent to all": "claim",
+      "silent, a later home is known to an agent": "follow",
+      "silent, but an agent hears it": "follow",
+      "silent, no agent answers": "follow",
+    }
+  `);
+});
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -58,6 +58,8 @@
       body: JSON.stringify(call.body),
       timeoutMs: call.timeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      // Every call among nodes may come twice.
+      mayRepeat: true,
       signal: call.signal,
     });
     if (reply.isErr()) return err(convertFault(reply.error));
--- a/packages/runtime/src/http_caller.test.ts
+++ b/packages/runtime/src/http_caller.test.ts
@@ -106,6 +106,29 @@
   expect(connections).toBe(2);
 });
 
+test('a call that may be repeated outlives a stale connection', async () => {
+  await listen(socket => {
+    if (connections === 2) return socket.write(FRAMED);
+    if (socket.bytesRead > 100) return socket.destroy();
+    return socket.write(FRAMED);
+  });
+  const {port} = server.address() as AddressInfo;
+  const call = (mayRepeat: boolean) =>
+    caller.call({
+      address: {host: '127.0.0.1', port},
+      method: 'GET',
+      path: '/',
+      timeoutMs: 1_000,
+      mayRepeat,
+    });
+  await call(false);
+  const once = await call(false);
+  connections = 0;
+  await call(false);
+  const repeated = await call(true);
+  expect([once.isOk(), repeated.isOk()]).toEqual([false, true]);
+});
+
 test('silence ends with the time of the call, and nobody with a refusal', async () => {
   await listen(() => undefined);
   const silent = await callServer(50);
--- a/packages/runtime/src/http_caller.ts
+++ b/packages/runtime/src/http_caller.ts
@@ -36,6 +36,11 @@
   /** Time for the whole call, in ms. */
   readonly timeoutMs: number;
   readonly connectTimeoutMs?: number;
+  /**
+   * Whether the call may be made once more, on a new connection, when a kept
+   * one breaks before any answer: peers close idle connections at any moment.
+   */
+  readonly mayRepeat?: boolean;
   /**
    * Tells whether an answer is to this call; else its connection is closed,
    * and the call counts as broken.
@@ -77,6 +82,8 @@
   readonly isSent: boolean;
   /** Whether the peer had begun to answer. */
   readonly isAnswered: boolean;
+  /** Whether the connection had carried a call before. */
+  readonly isReused: boolean;
   readonly detail: string;
 }
 
@@ -117,9 +124,20 @@
   }
 
   /** Makes a call and reads the whole answer. */
-  call(call: HttpCall): Promise<Result<HttpReply, HttpFault>> {
+  async call(call: HttpCall): Promise<Result<HttpReply, HttpFault>> {
+    const startedAtMs = performance.now();
+    const reply = await this.callOnce(call, this.agent);
+    if (reply.isOk() || !call.mayRepeat || !isStale(reply.error)) return reply;
+    const timeoutMs = call.timeoutMs - (performance.now() - startedAtMs);
+    return this.callOnce({...call, timeoutMs}, false);
+  }
+
+  private callOnce(
+    call: HttpCall,
+    agent: Agent | false,
+  ): Promise<Result<HttpReply, HttpFault>> {
     return new Promise(resolve => {
-      const exchange = HttpExchangeState.create(call, this.agent, fault =>
+      const exchange = HttpExchangeState.create(call, agent, fault =>
         resolve(err(fault)),
       );
       exchange.start(message => {
@@ -193,6 +211,11 @@
   this.destroy();
 }
 
+/** Tells whether a kept connection had been closed before the call. */
+function isStale(fault: HttpFault): boolean {
+  return fault.reason === 'broken' && fault.isReused && !fault.isAnswered;
+}
+
 /** Tells whether only the end of the connection ends an answer. */
 function isUnframed(message: IncomingMessage): boolean {
   const {headers} = message;
@@ -243,7 +266,7 @@
 
   private constructor(
     private readonly options: HttpCall,
-    agent: Agent,
+    agent: Agent | false,
     private readonly onFault: (fault: HttpFault) => void,
   ) {
     const {address, method, path, headers, body} = options;
@@ -264,7 +287,7 @@
 
   static create(
     options: HttpCall,
-    agent: Agent,
+    agent: Agent | false,
     onFault: (fault: HttpFault) => void,
   ): HttpExchangeState {
     return new HttpExchangeState(options, agent, onFault);
@@ -334,6 +357,7 @@
     this.finish();
     this.request.destroy();
     const {isSent, isAnswered} = this;
-    this.onFault({reason, isSent, isAnswered, detail});
+    const isReused = this.request.reusedSocket;
+    this.onFault({reason, isSent, isAnswered, isReused, detail});
   }
 }
