--- a/bin/bundle.mjs
+++ b/bin/bundle.mjs
@@ -11,6 +11,7 @@
     demo: 'packages/harness/src/demo.ts',
     bench: 'packages/bench/src/main.ts',
     bench_waiting: 'packages/bench/src/waiting/main.ts',
+    soak: 'platform/src/soak/soak_main.ts',
     bench_slopes: 'packages/bench/src/slopes/main.ts',
   },
   'dist',
