--- /dev/null
+++ b/packages/runtime/src/event_stream.test.ts
@@ -0,0 +1,66 @@
+/** Server-sent events, however they are cut into chunks. */
+import fc from 'fast-check';
+import {readFuzzParameters} from '@sassafrasspan/core/testing';
+import {EventStreamReader} from './event_stream';
+
+const STREAM =
+  'id: 1\ndata: first\n\nweight-versions: 3\nid: 2\ndata: zwölf\r\n\r\n' +
+  'id: 3\ndata: a\ndata: b\n\nid: 4\ndata: ha';
+
+function readAll(chunks: readonly Buffer[]) {
+  const reader = EventStreamReader.create();
+  const events = chunks.flatMap(chunk => reader.read(chunk));
+  return {
+    events: events.map(({id, data, fields}) => [id, data, [...fields]]),
+    hasRest: reader.hasRest(),
+  };
+}
+
+test('whole events are read, and half of one never is', () => {
+  expect(readAll([Buffer.from(STREAM)])).toMatchInlineSnapshot(`
+    {
+      "events": [
+        [
+          "1",
+          "first",
+          [],
+        ],
+        [
+          "2",
+          "zwölf",
+          [
+            [
+              "weight-versions",
+              "3",
+            ],
+          ],
+        ],
+        [
+          "3",
+          "a
+    b",
+          [],
+        ],
+      ],
+      "hasRest": true,
+    }
+  `);
+});
+
+test('chunks of any size give the same events', () => {
+  const bytes = Buffer.from(STREAM);
+  const whole = readAll([bytes]);
+  fc.assert(
+    fc.property(fc.array(fc.integer({min: 1, max: 9})), sizes => {
+      const chunks: Buffer[] = [];
+      let from = 0;
+      for (const size of sizes) {
+        chunks.push(bytes.subarray(from, from + size));
+        from += size;
+      }
+      chunks.push(bytes.subarray(from));
+      expect(readAll(chunks)).toEqual(whole);
+    }),
+    readFuzzParameters(1, 200),
+  );
+});
