--- a/packages/calls/src/call_forwarder.test.ts
+++ b/packages/calls/src/call_forwarder.test.ts
@@ -3,6 +3,7 @@
   EndpointDirectory,
   EndpointEntry,
   EndpointPool,
+  Quarantine,
   Route,
   RouteKind,
 } from '@sassafrasspan/core';
@@ -72,17 +73,27 @@
 async function forward(
   kind: RouteKind,
   script: Script,
-  options: {endpoints?: number; maxAttempts?: number} = {},
+  options: {
+    endpoints?: number;
+    maxAttempts?: number;
+    quarantine?: Quarantine;
+    /** Number of the first endpoint. */
+    first?: number;
+  } = {},
 ): Promise<Outcome> {
-  const {endpoints = 3, maxAttempts = 2} = options;
+  const {endpoints = 3, maxAttempts = 2, first = 0} = options;
+  const {quarantine = Quarantine.create(3)} = options;
   const directory = EndpointDirectory.create();
-  for (let i = 0; i < endpoints; i++) directory.put(createEndpoint(`e${i}`));
-  const random = () => 0.5;
+  for (let i = 0; i < endpoints; i++) {
+    directory.put(createEndpoint(`e${first + i}`));
+  }
+  const drawHalf = () => 0.5;
   const sent = new Set<string>();
   let cancelled = 0;
   const forwarder = CallForwarder.create({
     endpoints: directory,
-    pool: EndpointPool.create('a', random),
+    pool: EndpointPool.create('a', drawHalf),
+    quarantine,
     caller: {
       callEndpoint: (endpoint, _call, _leftMs, signal) => {
         sent.add(endpoint.id);
@@ -97,7 +108,7 @@
       },
     },
     clock: SYSTEM_CLOCK,
-    random,
+    random: drawHalf,
     log: SILENT_LOG,
     metrics: Metrics.create(),
   });
@@ -161,3 +172,21 @@
   const once = await forward('idempotent', ['silent'], {maxAttempts: 1});
   expect(once.sent).toBe(1);
 });
+
+test('a request that crashes three endpoints is not run again', async () => {
+  const quarantine = Quarantine.create(3);
+  const send = (first: number) =>
+    forward('idempotent', ['lost', 'lost'], {quarantine, first});
+  const seen = [await send(0), await send(10), await send(20)];
+  expect(seen.map(({result, sent}) => `${result}, ${sent}`)).toEqual([
+    'endpoint-failed, 2',
+    'endpoint-failed, 2',
+    'crash-suspect, 0',
+  ]);
+});
+
+test('a request that is answered clears itself', async () => {
+  const quarantine = Quarantine.create(3);
+  await forward('idempotent', ['lost', 'ok'], {quarantine});
+  expect(quarantine.listSuspicions()).toEqual([]);
+});
--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -10,11 +10,13 @@
   EndpointDirectory,
   EndpointEntry,
   EndpointPool,
+  Quarantine,
   RandomSource,
   ServiceError,
   computeHedgeDelay,
   createError,
   decideAfterAttempt,
+  hashText,
   pickTarget,
 } from '@sassafrasspan/core';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
@@ -31,6 +33,8 @@
   readonly endpoints: EndpointDirectory;
   readonly pool: EndpointPool;
   readonly caller: EndpointCaller;
+  /** Requests that may crash the endpoints that run them. */
+  readonly quarantine: Quarantine;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
@@ -54,15 +58,29 @@
     const {route} = matched;
     const startedAtMs = this.options.clock.readMonotonicMs();
     const service = pickTarget(route, this.options.random);
-    const result =
-      service === undefined
-        ? err(createError('no-endpoint', `route ${route.name} has no service`))
-        : await CallRun.create(this.options, matched, service).run();
+    const fingerprint = computeFingerprint(matched.call);
+    const result = await this.run(matched, service, fingerprint);
     const tookMs = this.options.clock.readMonotonicMs() - startedAtMs;
     this.recordResult(matched, result, tookMs);
     return result;
   }
 
+  private async run(
+    matched: MatchedCall,
+    service: string | undefined,
+    fingerprint: string,
+  ): Promise<CallResult> {
+    const {route} = matched;
+    if (service === undefined) {
+      const detail = `route ${route.name} has no service`;
+      return err(createError('no-endpoint', detail));
+    }
+    if (this.options.quarantine.isQuarantined(fingerprint)) {
+      return err(createError('crash-suspect', `fingerprint ${fingerprint}`));
+    }
+    return CallRun.create(this.options, matched, service, fingerprint).run();
+  }
+
   private recordResult(
     matched: MatchedCall,
     result: CallResult,
@@ -101,6 +119,7 @@
     private readonly options: CallForwarderOptions,
     private readonly matched: MatchedCall,
     private readonly service: string,
+    private readonly fingerprint: string,
     /** When the caller or the operator wants no more waiting. */
     private readonly endsAtMs: number,
   ) {}
@@ -109,11 +128,12 @@
     options: CallForwarderOptions,
     matched: MatchedCall,
     service: string,
+    fingerprint: string,
   ): CallRun {
     const nowMs = options.clock.readMonotonicMs();
     const {call, route} = matched;
     const endsAtMs = Math.min(call.deadlineAtMs, nowMs + route.timeoutMs);
-    return new CallRun(options, matched, service, endsAtMs);
+    return new CallRun(options, matched, service, fingerprint, endsAtMs);
   }
 
   run(): Promise<CallResult> {
@@ -188,6 +208,7 @@
     this.attempts.delete(controller);
     const nowMs = clock.readMonotonicMs();
     this.recordReply(endpoint, reply, nowMs - startedAtMs, nowMs);
+    if (!this.isOver) this.recordSuspicion(endpoint, reply);
     if (!this.isOver) this.follow(endpoint, reply);
   }
 
@@ -211,6 +232,18 @@
     }
   }
 
+  /** A request that endpoints break off without a byte may have crashed them. */
+  private recordSuspicion(endpoint: EndpointEntry, reply: EndpointReply): void {
+    const {quarantine, log} = this.options;
+    if (reply.type === 'answered') return quarantine.clear(this.fingerprint);
+    if (reply.type !== 'lost' || reply.hadBytes) return;
+    const refused = quarantine.implicate([this.fingerprint], endpoint.id);
+    if (refused.length === 0) return;
+    const {id} = this.matched.call;
+    const fields = {requestId: id, fingerprint: this.fingerprint};
+    log.writeEvent('request-quarantined', fields);
+  }
+
   private follow(endpoint: EndpointEntry, reply: EndpointReply): void {
     if (reply.type === 'not-run') {
       this.runs -= 1;
@@ -284,6 +317,13 @@
   }
 }
 
+/** Equal for calls that ask for the same work. */
+function computeFingerprint(call: MatchedCall['call']): string {
+  const {method, host, target, body} = call;
+  const text = `${method} ${host}${target} ${body.toString('latin1')}`;
+  return `${hashText(text).toString(16)}-${body.length}`;
+}
+
 function describeEnd(reply: EndpointReply): AttemptEnd {
   switch (reply.type) {
     case 'answered':
--- /dev/null
+++ b/packages/calls/src/suspicion_spreader.ts
@@ -0,0 +1,98 @@
+/**
+ * Tells the other entries of requests that may crash endpoints, since such a
+ * request comes again at any of them.
+ */
+import {CrashSuspicion, Quarantine} from '@sassafrasspan/core';
+import {PeerClient, PeerRoutes, createHandler} from '@sassafrasspan/peers';
+import type {PeerAddress} from '@sassafrasspan/runtime';
+import {ok} from 'neverthrow';
+import * as z from 'zod/mini';
+
+const PATH = '/entry/suspicions';
+/** Time for an entry to take suspicions, in ms. */
+const TIMEOUT_MS = 500;
+/** Time for further suspicions to join a message, in ms. */
+const COLLECT_MS = 20;
+
+const MESSAGE_SCHEMA = z.object({
+  suspicions: z.array(
+    z.object({fingerprint: z.string(), crashIds: z.array(z.string())}),
+  ),
+});
+
+const DONE_SCHEMA = z.object({});
+
+/** What a spreader is built from. */
+export interface SuspicionSpreaderOptions {
+  readonly quarantine: Quarantine;
+  readonly peers: PeerClient;
+  /** Lists the other entries. */
+  readonly listEntries: () => readonly PeerAddress[];
+}
+
+/** Spreads suspicions among entries. */
+export class SuspicionSpreader {
+  private readonly sent = new Map<string, number>();
+  private isReceiving = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly options: SuspicionSpreaderOptions) {
+    options.quarantine.subscribe(() => this.schedule());
+  }
+
+  /** Builds a spreader. */
+  static create(options: SuspicionSpreaderOptions): SuspicionSpreader {
+    return new SuspicionSpreader(options);
+  }
+
+  /** Returns the call that other entries make. */
+  createRoutes(): PeerRoutes {
+    return {
+      [PATH]: createHandler(MESSAGE_SCHEMA, ({suspicions}) => {
+        this.receive(suspicions);
+        return ok({});
+      }),
+    };
+  }
+
+  private receive(suspicions: readonly CrashSuspicion[]): void {
+    this.isReceiving = true;
+    this.options.quarantine.addSuspicions(suspicions);
+    this.isReceiving = false;
+    for (const {fingerprint, crashIds} of suspicions) {
+      this.sent.set(fingerprint, crashIds.length);
+    }
+  }
+
+  private schedule(): void {
+    if (this.isReceiving || this.timer !== undefined) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      void this.spread();
+    }, COLLECT_MS);
+  }
+
+  private async spread(): Promise<void> {
+    const {quarantine, peers, listEntries} = this.options;
+    const suspicions = quarantine
+      .listSuspicions()
+      .filter(
+        item => item.crashIds.length > (this.sent.get(item.fingerprint) ?? 0),
+      );
+    if (suspicions.length === 0) return;
+    for (const {fingerprint, crashIds} of suspicions) {
+      this.sent.set(fingerprint, crashIds.length);
+    }
+    await Promise.all(
+      listEntries().map(address =>
+        peers.call({
+          address,
+          path: PATH,
+          body: {suspicions},
+          schema: DONE_SCHEMA,
+          timeoutMs: TIMEOUT_MS,
+        }),
+      ),
+    );
+  }
+}
--- a/packages/core/src/batch/batch_policy.test.ts
+++ b/packages/core/src/batch/batch_policy.test.ts
@@ -121,7 +121,7 @@
   );
 }
 
-function slowDown(world: BatchWorld): void {
+function disturbTwo(world: BatchWorld): void {
   world.engines[0].slowness = 4;
   world.engines[1].slowness = 4;
 }
@@ -135,15 +135,15 @@
 });
 
 test('a step beside slow endpoints ends sooner than first come', () => {
-  const ours = sumSteps(undefined, slowDown);
-  const first = sumSteps(FIRST_COME, slowDown);
+  const ours = sumSteps(undefined, disturbTwo);
+  const first = sumSteps(FIRST_COME, disturbTwo);
   expect(ours).toBeLessThan(first);
 });
 
 test('items are moved a bounded number of times', () => {
   const {world, openStep} = createWorld(7);
   const state = openStep('a', 41, 37);
-  slowDown(world);
+  disturbTwo(world);
   world.advanceUntil(() => state.isComplete(), STEP_LIMIT_MS);
   // Each item starts once; the rest are moves off the two slow endpoints.
   expect(world.starts.length).toBeLessThan(164 + 2 * 2 * 12);
--- a/packages/core/src/batch/carry_over.ts
+++ b/packages/core/src/batch/carry_over.ts
@@ -21,6 +21,15 @@
   readonly length: KnownLength | undefined;
   /** Oldest version that its job took. */
   readonly minVersion: number;
+  /** Endpoints in a row that made nothing of it. */
+  readonly barrenBreaks: number;
+}
+
+/** What is known of an item beside what is left of it. */
+interface KnownItem {
+  readonly length?: KnownLength;
+  readonly minVersion: number;
+  readonly barrenBreaks?: number;
 }
 
 /** A run of an ended job. */
@@ -67,14 +76,19 @@
       this.runsByItem.set(id, lingering);
       return;
     }
-    this.put(id, result ?? events, state.knownLength, minVersion);
+    this.put(id, result ?? events, {
+      length: state.knownLength,
+      minVersion,
+      barrenBreaks: state.barrenBreaks,
+    });
   }
 
   /** Notes the items of a job that ended under an earlier home. */
   learnJob(state: JobState): void {
     for (const {item, result} of state.items.values()) {
       if (this.items.has(item.id)) continue;
-      this.put(item.id, result ?? [], undefined, state.job.minVersion);
+      const {minVersion} = state.job;
+      this.put(item.id, result ?? [], {minVersion});
     }
   }
 
@@ -113,6 +127,7 @@
       this.items.delete(id);
       if (left !== undefined) {
         item.knownLength = left.length;
+        item.barrenBreaks = left.barrenBreaks;
         if (left.result !== undefined) state.adoptResult(left.result);
         else state.adoptText(id, left.events);
       }
@@ -145,7 +160,7 @@
     this.dropRun(run);
     const {itemId, events, minVersion} = run;
     const left = isWhole ? createResult(itemId, events) : events;
-    this.put(itemId, left, undefined, minVersion);
+    this.put(itemId, left, {minVersion});
     return true;
   }
 
@@ -166,11 +181,10 @@
   private put(
     itemId: string,
     left: JobResult | readonly TextEvent[],
-    known: KnownLength | undefined,
-    minVersion: number,
+    known: KnownItem,
   ): void {
     this.items.delete(itemId);
-    this.items.set(itemId, createLeftItem(left, known, minVersion));
+    this.items.set(itemId, createLeftItem(left, known));
     for (const oldest of this.items.keys()) {
       if (this.items.size <= MAX_ITEMS) return;
       this.items.delete(oldest);
@@ -180,17 +194,15 @@
 
 function createLeftItem(
   left: JobResult | readonly TextEvent[],
-  known: KnownLength | undefined,
-  minVersion: number,
+  {length, minVersion, barrenBreaks = 0}: KnownItem,
 ): LeftItem {
-  if ('state' in left) {
-    if (left.state === 'dead') {
-      return {result: undefined, events: [], length: known, minVersion};
-    }
-    const length = {events: left.text.split('\n').length, isWhole: true};
-    return {result: left, events: [], length, minVersion};
+  const nothing = {result: undefined, events: [], minVersion, barrenBreaks};
+  if (!('state' in left)) {
+    const isMore = left.length > (length?.events ?? 0) && !length?.isWhole;
+    const seen = isMore ? {events: left.length, isWhole: false} : length;
+    return {...nothing, events: left, length: seen};
   }
-  const isMore = left.length > (known?.events ?? 0) && known?.isWhole !== true;
-  const length = isMore ? {events: left.length, isWhole: false} : known;
-  return {result: undefined, events: left, length, minVersion};
+  if (left.state === 'dead') return {...nothing, length};
+  const events = left.text.split('\n').length;
+  return {...nothing, result: left, length: {events, isWhole: true}};
 }
--- a/packages/core/src/batch/home_planner.ts
+++ b/packages/core/src/batch/home_planner.ts
@@ -118,7 +118,7 @@
         const sinceMs = run.progressAtMs ?? run.startedAtMs;
         if (nowMs - sinceMs < STALL_MS) continue;
         pool.stopRun(run.runId, runner.registration.endpointId);
-        book.finishRun(run.runId, run.jobId, run.itemId, 'broken', nowMs);
+        book.finishRun(run.runId, run.jobId, run.itemId, 'stopped', nowMs);
       }
     }
   }
--- a/packages/core/src/batch/home_scheduler.ts
+++ b/packages/core/src/batch/home_scheduler.ts
@@ -120,7 +120,7 @@
     runner.isLinked = false;
     runner.pendingLoad = undefined;
     for (const run of runner.runs.values()) {
-      this.book.finishRun(run.runId, run.jobId, run.itemId, 'broken', nowMs);
+      this.book.finishRun(run.runId, run.jobId, run.itemId, 'stopped', nowMs);
     }
     runner.runs.clear();
   }
--- a/packages/core/src/errors/error_kinds.ts
+++ b/packages/core/src/errors/error_kinds.ts
@@ -118,6 +118,12 @@
     retryAfterMs: RETRY_SOON_MS,
     summary: 'The endpoint failed while it ran the request.',
   },
+  'crash-suspect': {
+    status: 502,
+    outcome: 'unknown',
+    retryAfterMs: 0,
+    summary: 'The request broke every endpoint that ran it; it is not run now.',
+  },
   'endpoint-refused': {
     status: 503,
     outcome: 'not-run',
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -43,6 +43,11 @@
     level: 'error',
     meaning: 'An error that no handler expected.',
   },
+  'metrics-not-served': {
+    number: 105,
+    level: 'error',
+    meaning: 'The address of the metrics cannot be listened on.',
+  },
   'request-refused': {
     number: 200,
     level: 'info',
@@ -243,6 +248,11 @@
     level: 'info',
     meaning: 'The home sent an item of a batch job to an agent.',
   },
+  'job-call-failed': {
+    number: 517,
+    level: 'warn',
+    meaning: 'A call about a batch job ended with an error.',
+  },
   'job-removed': {
     number: 516,
     level: 'info',
--- a/packages/core/src/fleet/fleet.test.ts
+++ b/packages/core/src/fleet/fleet.test.ts
@@ -67,18 +67,18 @@
 test('a cut path is avoided for a while, and a store that is away probed', () => {
   const path = StorePath.create();
   const seen: Array<[number, string]> = [];
-  const look = (nowMs: number) =>
+  const visit = (nowMs: number) =>
     seen.push([nowMs, path.listWays(nowMs).join(', ') || 'none']);
-  look(0);
+  visit(0);
   path.recordCut(0);
-  look(10);
-  look(401);
+  visit(10);
+  visit(401);
   path.recordCut(401);
   path.recordAway(420);
-  look(430);
-  look(1_030);
+  visit(430);
+  visit(1_030);
   path.recordDirect();
-  look(1_040);
+  visit(1_040);
   expect(seen).toMatchInlineSnapshot(`
     [
       [
--- a/packages/core/src/runs/quarantine.ts
+++ b/packages/core/src/runs/quarantine.ts
@@ -6,7 +6,8 @@
  * request that was only beside the cause of the first.
  */
 
-const QUARANTINE_THRESHOLD = 2;
+/** Crashes after which a request is refused where no other number is set. */
+const DEFAULT_THRESHOLD = 2;
 const MAX_SUSPECTS = 1_000;
 
 /** Crashes of endpoints while a request was running. */
@@ -21,11 +22,11 @@
   private readonly quarantined = new Set<string>();
   private readonly listeners = new Set<() => void>();
 
-  private constructor() {}
+  private constructor(private readonly threshold: number) {}
 
   /** Builds a record without suspicions. */
-  static create(): Quarantine {
-    return new Quarantine();
+  static create(threshold = DEFAULT_THRESHOLD): Quarantine {
+    return new Quarantine(threshold);
   }
 
   /** Notes the requests in flight at a crash; returns the newly refused. */
@@ -46,7 +47,7 @@
       if (known.size === before) continue;
       hasNews = true;
       this.crashes.set(fingerprint, known);
-      if (known.size < QUARANTINE_THRESHOLD) continue;
+      if (known.size < this.threshold) continue;
       if (this.quarantined.has(fingerprint)) continue;
       this.quarantined.add(fingerprint);
       fresh.push(fingerprint);
--- a/packages/core/src/testing/batch_world.ts
+++ b/packages/core/src/testing/batch_world.ts
@@ -144,13 +144,13 @@
   /** Goes on for a time in ms. */
   advance(durationMs: number): void {
     const endMs = this.nowMs + durationMs;
-    while (this.nowMs < endMs) this.tick();
+    while (this.nowMs < endMs) this.step();
   }
 
   /** Goes on until something holds; false when it does not in time. */
   advanceUntil(holds: () => boolean, limitMs: number): boolean {
     const endMs = this.nowMs + limitMs;
-    while (!holds() && this.nowMs < endMs) this.tick();
+    while (!holds() && this.nowMs < endMs) this.step();
     return holds();
   }
 
@@ -185,7 +185,7 @@
     for (const engine of this.engines) this.sync(engine);
   }
 
-  private tick(): void {
+  private step(): void {
     this.nowMs += TICK_MS;
     for (const engine of this.engines) {
       this.generate(engine);
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -45,8 +45,8 @@
   readonly ledger: JobLedger;
   readonly peers: PeerClient;
   readonly findBounds: BoundsFinder;
-  /** Time from acceptance for which results can be read, in ms. */
-  readonly keepMs: number;
+  /** Returns the time from acceptance for which results can be read, in ms. */
+  readonly findKeepMs: () => number;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
@@ -312,7 +312,7 @@
       const isIdle = nowMs - usedAtMs > MEMORY_MS;
       if (state.isEnded && isIdle) this.jobs.delete(id);
     }
-    const endMs = this.options.clock.readWallMs() - this.options.keepMs;
+    const endMs = this.options.clock.readWallMs() - this.options.findKeepMs();
     for (const [id, acceptedAtMs] of this.kept) {
       if (acceptedAtMs >= endMs) continue;
       // A trainer that never ended its job will not read it any more.
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -52,11 +52,7 @@
 export class PeerServer {
   private readonly server: Server;
 
-  private constructor(
-    private readonly routes: PeerRoutes,
-    /** Text pages by path, such as metrics. */
-    private readonly pages: Readonly<Record<string, () => string>>,
-  ) {
+  private constructor(private readonly routes: PeerRoutes) {
     this.server = createServer({keepAliveTimeout: KEEP_ALIVE_MS});
     this.server.on('request', (request, response) => {
       void this.handle(request, response);
@@ -64,11 +60,8 @@
   }
 
   /** Builds a server for a table of routes. */
-  static create(
-    routes: PeerRoutes,
-    pages: Readonly<Record<string, () => string>> = {},
-  ): PeerServer {
-    return new PeerServer(routes, pages);
+  static create(routes: PeerRoutes): PeerServer {
+    return new PeerServer(routes);
   }
 
   /** Starts to listen. */
@@ -90,11 +83,6 @@
     response: ServerResponse,
   ): Promise<void> {
     const path = request.url ?? '/';
-    const page = Object.hasOwn(this.pages, path) ? this.pages[path] : undefined;
-    if (page !== undefined) {
-      response.end(page());
-      return;
-    }
     const controller = new AbortController();
     response.on('close', () => {
       if (!response.writableFinished) controller.abort();
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,3 +3,5 @@
 export * from './vm_list_client';
 export * from './object_collections';
 export * from './kind_watch';
+export * from './fleet_source';
+export * from './fleet_state';
--- a/packages/runtime/src/http_caller.ts
+++ b/packages/runtime/src/http_caller.ts
@@ -108,7 +108,7 @@
   maxFreeSockets: MAX_FREE_SOCKETS,
   scheduling: 'lifo',
   noDelay: true,
-  // Lets a reset be told from an end, see `confirmEnd`.
+  // Lets a reset be told from an end, see `waitForEnd`.
   allowHalfOpen: true,
 };
 
@@ -143,7 +143,7 @@
       exchange.start(message => {
         const chunks: Buffer[] = [];
         message.on('data', (chunk: Buffer) => chunks.push(chunk));
-        confirmEnd(message, exchange, () => {
+        waitForEnd(message, exchange, () => {
           exchange.finish();
           resolve(
             ok({
@@ -174,7 +174,7 @@
       exchange.start(message => {
         isOpen = true;
         exchange.stopTimers();
-        confirmEnd(message, exchange, () => {
+        waitForEnd(message, exchange, () => {
           exchange.finish();
           listener.onWhole();
         });
@@ -230,7 +230,7 @@
  * reset right after its last bytes is reported as an end as well; an empty
  * line tells them apart, since it cannot be written after a reset.
  */
-function confirmEnd(
+function waitForEnd(
   message: IncomingMessage,
   exchange: HttpExchangeState,
   onWhole: () => void,
--- a/packages/runtime/src/http_server.ts
+++ b/packages/runtime/src/http_server.ts
@@ -8,7 +8,7 @@
 import {ErrorKind, ServiceError, createError} from '@sassafrasspan/core';
 import {Result, err, ok} from 'neverthrow';
 import {formatErrorReply, formatRawError} from './http_errors';
-import {describeError} from './settings';
+import {describeError} from './describe_error';
 
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 /** What differs by platform, behind one narrow module. */
 export * from './clock';
 export * from './decision_log';
+export * from './describe_error';
 export * from './http_errors';
 export * from './http_server';
 export * from './latency_histograms';
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -6,6 +6,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {Document, LineCounter, isNode, parseDocument} from 'yaml';
 import type {z} from 'zod';
+import {describeError} from './describe_error';
 import {SettingsSchemaReader} from './settings_expectations';
 
 const MAX_SHOWN_LENGTH = 40;
@@ -159,10 +160,3 @@
   const key = fault.key === '' ? '' : ` ${fault.key}:`;
   return `${fault.file}:${fault.line}:${key} ${fault.reason}`;
 }
-
-/** Returns the message of anything thrown. */
-export function describeError(error: unknown): string {
-  const hasMessage =
-    typeof error === 'object' && error !== null && 'message' in error;
-  return String(hasMessage ? error.message : error);
-}
--- a/packages/runtime/src/undici_errors.ts
+++ b/packages/runtime/src/undici_errors.ts
@@ -1,5 +1,5 @@
 /** Reads what an error of `undici` says about the request that met it. */
-import {describeError} from './settings';
+import {describeError} from './describe_error';
 
 const CONNECT_CODES = new Set([
   'ECONNREFUSED',
