Lint the adapter like the packages, and keep its names inside it

Now platform/ has the same rules, and a rule of its own finds names of the users' pages outside it (it found one, in a test of event streams).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,11 +5,21 @@
 
 const VERBS = readVerbs(path.join(import.meta.dirname, 'docs/VERBS.md'));
 
+/** Names of the users' pages, which only platform/ may know. */
+const PLATFORM_NAMES =
+  '/Server-Stamp|Not-Executed|Expect-Instance|Prompt-Prefix|Token-Usage' +
+  '|Weight-Versions|Length-Hint|[/]api[/](lots|objects|order|report|readiness)/i';
+
+const NO_DEFAULT_EXPORT = {
+  selector: 'ExportDefaultDeclaration',
+  message: 'Use named exports.',
+};
+
 export default tseslint.config(
   {ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**']},
   ...tseslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     plugins: {house: {rules: {verb: createVerbRule(VERBS)}}},
     rules: {
       'house/verb': 'error',
@@ -19,13 +29,7 @@
       curly: ['error', 'multi-line'],
       'no-console': 'error',
       'max-lines': ['error', {max: 400}],
-      'no-restricted-syntax': [
-        'error',
-        {
-          selector: 'ExportDefaultDeclaration',
-          message: 'Use named exports.',
-        },
-      ],
+      'no-restricted-syntax': ['error', NO_DEFAULT_EXPORT],
       '@typescript-eslint/no-explicit-any': 'error',
       '@typescript-eslint/no-non-null-assertion': 'error',
       '@typescript-eslint/no-unused-vars': [
@@ -42,6 +46,20 @@
       ],
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    ignores: ['packages/standins/**'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        NO_DEFAULT_EXPORT,
+        ...['Literal[value=', 'TemplateElement[value.raw='].map(start => ({
+          selector: `${start}${PLATFORM_NAMES}]`,
+          message: "Only platform/ knows the names of the users' pages.",
+        })),
+      ],
+    },
+  },
   {
     files: ['bin/**/*.mjs'],
     languageOptions: {globals: {console: 'readonly', process: 'readonly'}},
--- a/packages/jobs/src/home_role.ts
+++ b/packages/jobs/src/home_role.ts
@@ -213,7 +213,7 @@
         return this.stopHome(`retires, handed to ${next}`);
       }
     }
-    const isDone = await source.completeRetirement(vm);
+    const isDone = await source.finishRetirement(vm);
     if (isDone) log.writeEvent('vm-retired', {vm});
   }
 
--- a/packages/platform/src/fleet_source.ts
+++ b/packages/platform/src/fleet_source.ts
@@ -41,5 +41,5 @@
   /** Follows VMs that are to be emptied and have not been. */
   createRetirementWatch(onAsked: (vm: string) => void): RunnableWatch;
   /** States that a VM is empty; false when that was not taken. */
-  completeRetirement(vm: string): Promise<boolean>;
+  finishRetirement(vm: string): Promise<boolean>;
 }
--- a/packages/runtime/src/event_stream.test.ts
+++ b/packages/runtime/src/event_stream.test.ts
@@ -4,7 +4,7 @@
 import {EventStreamReader} from './event_stream';
 
 const STREAM =
-  'id: 1\ndata: first\n\nweight-versions: 3\nid: 2\ndata: zwölf\r\n\r\n' +
+  'id: 1\ndata: first\n\norigin: 3\nid: 2\ndata: zwölf\r\n\r\n' +
   'id: 3\ndata: a\ndata: b\n\nid: 4\ndata: ha';
 
 function readAll(chunks: readonly Buffer[]) {
@@ -30,7 +30,7 @@
           "zwölf",
           [
             [
-              "weight-versions",
+              "origin",
               "3",
             ],
           ],
