Confirm the end of a job after the agents have answered their orders

Orders to start were still on their way when the end was confirmed. Ruled out: a start planned after the end (the scheduler drops the job at once), a lost stop.

The home now plans the stops at once and confirms when what it has sent is answered, or after 250 ms. The test read the times at which servers saw items; these also hold bytes that were sent before the end and read later, which the promise allows within the time for stops.

--- a/packages/jobs/src/agent_links.ts
+++ b/packages/jobs/src/agent_links.ts
@@ -10,7 +10,12 @@
   SyncAnswer,
 } from '@sassafrasspan/core';
 import type {PeerClient} from '@sassafrasspan/peers';
-import {EventLog, PeerAddress, formatAddress} from '@sassafrasspan/runtime';
+import {
+  EventLog,
+  PeerAddress,
+  formatAddress,
+  waitMs,
+} from '@sassafrasspan/runtime';
 import {AgentLink} from './agent_link';
 
 /** An agent and the endpoint beside it. */
@@ -51,6 +56,8 @@
   private readonly agents = new Map<string, LinkedAgent>();
   /** Runs whose results wait for the store, by item. */
   private readonly unsafeRuns = new Map<string, UnsafeRun>();
+  /** Orders that no agent has answered yet. */
+  private readonly underWay = new Set<Promise<void>>();
 
   private constructor(private readonly options: AgentLinksOptions) {}
 
@@ -87,6 +94,17 @@
   /** Sends orders; starts that may not have arrived are taken back. */
   async send(orders: RunnerOrders): Promise<void> {
     this.reportStarts(orders);
+    const sent = this.deliver(orders).finally(() => this.underWay.delete(sent));
+    this.underWay.add(sent);
+    await sent;
+  }
+
+  /** Waits until what has been sent is answered, or for a while. */
+  async waitForOrders(limitMs: number): Promise<void> {
+    await Promise.race([Promise.all(this.underWay), waitMs(limitMs)]);
+  }
+
+  private async deliver(orders: RunnerOrders): Promise<void> {
     const agent = this.agents.get(orders.endpointId);
     const isSent = (await agent?.link.send(orders)) ?? false;
     if (isSent) return;
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -26,6 +26,9 @@
 const PLAN_INTERVAL_MS = 50;
 /** Time before an end that the store did not take is written again, in ms. */
 const END_RETRY_MS = 500;
+/** Time for agents to answer orders before an end is confirmed, in ms: they
+ * answer within 5 ms, and what they start later they are told to stop. */
+const ORDERS_WAIT_MS = 250;
 /** Time between looks for jobs that need not be kept, in ms. */
 const SWEEP_INTERVAL_MS = 2_000;
 /** Time for which an ended job stays in memory after it was last read, in ms;
@@ -213,16 +216,19 @@
     return ok({body: item.item.body});
   }
 
-  /** Ends a job; confirmed when the store knows it. */
+  /** Ends a job; confirmed when the store and the agents know it. */
   async end(jobId: string): HomeAnswer<object> {
     const served = await this.findJob(jobId);
     if (served.isErr()) return err(served.error);
     if (!served.value.state.isEnded) {
       this.scheduler.endJob(jobId, this.readMs());
       this.reportEnd(served.value);
-      this.requestPlan();
+      this.planNow();
     }
-    const ended = await this.options.ledger.endJob(jobId);
+    const [ended] = await Promise.all([
+      this.options.ledger.endJob(jobId),
+      this.links.waitForOrders(ORDERS_WAIT_MS),
+    ]);
     if (ended.isErr()) void this.repeatEnd(jobId);
     return ended.map(() => ({}));
   }
