Serve status and explain on the nodes of the users' platform

The operators' pages that entries and agents of the project's own interface have are now served on the metrics address of every node, so that 'sassafrasspan status' and 'explain' work there too. The routes moved from packages/server to packages/runtime.

--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -119,6 +119,11 @@
     return this.fleet.isComplete() && !this.isDraining;
   }
 
+  /** Tells whether the entry finishes what it has and then ends. */
+  isLeaving(): boolean {
+    return this.isDraining;
+  }
+
   /** Returns the routes in force. */
   getTable(): Result<RouteTable, ServiceError> {
     const table = this.fleet.getTable();
--- a/packages/operators/src/node_pages.ts
+++ b/packages/operators/src/node_pages.ts
@@ -13,7 +13,8 @@
   state: z.string(),
   running: z.number(),
   queued: z.number(),
-  slots: z.number(),
+  /** Unknown to agents whose engine does not state it. */
+  slots: z.number().optional(),
   weightVersion: z.number(),
 });
 
@@ -23,7 +24,7 @@
 /** Schema of the status page of a node of either role. */
 export const STATUS_PAGE_SCHEMA = z.object({
   node: z.string(),
-  role: z.enum(['entry', 'agent']),
+  role: z.enum(['entry', 'home', 'agent']),
   failureDomain: z.string(),
   ready: z.boolean(),
   leaving: z.boolean().default(false),
--- a/packages/operators/src/status_report.ts
+++ b/packages/operators/src/status_report.ts
@@ -68,10 +68,13 @@
   };
 }
 
-/** Entries go before agents, and both by name. */
+/** Order of roles in the report; nodes that do not answer come last. */
+const ROLE_ORDER = ['entry', 'home', 'agent', '?'];
+
+/** Nodes go by role, and within a role by name. */
 function compareNodes(a: NodeLine, b: NodeLine): number {
   return (
-    b.role.localeCompare(a.role) ||
+    ROLE_ORDER.indexOf(a.role) - ROLE_ORDER.indexOf(b.role) ||
     a.node.localeCompare(b.node, 'en', {numeric: true})
   );
 }
@@ -159,7 +162,9 @@
     line.service,
     line.failureDomain,
     line.state,
-    `${line.running}/${line.slots}`,
+    line.slots === undefined
+      ? String(line.running)
+      : `${line.running}/${line.slots}`,
     String(line.queued),
     String(line.weightVersion),
     line.reason,
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -126,6 +126,16 @@
     }
   }
 
+  /** Returns the engine's state as it was last read. */
+  getEngine(): EngineState {
+    return this.engine;
+  }
+
+  /** Tells whether the agent takes no new runs. */
+  isLeaving(): boolean {
+    return this.isStopped;
+  }
+
   private waitReportWake(): Promise<void> {
     return new Promise(resolve => {
       this.wakeReport = resolve;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,6 +7,7 @@
 export * from './latency_histograms';
 export * from './log';
 export * from './metrics';
+export * from './operators_routes';
 export * from './settings';
 export * from './settings_expectations';
 export * from './undici_errors';
--- a/packages/server/src/shared/operators_routes.ts
+++ b/packages/runtime/src/operators_routes.ts
@@ -1,13 +1,8 @@
 /** Pages for operators and for the balancer's checks. */
 import {createError} from '@sassafrasspan/core';
-import {
-  DecisionLog,
-  Metrics,
-  Route,
-  sendError,
-  sendJson,
-  sendText,
-} from '@sassafrasspan/runtime';
+import type {DecisionLog} from './decision_log';
+import {Route, sendError, sendJson, sendText} from './http_server';
+import type {Metrics} from './metrics';
 
 const PROMETHEUS_TYPE = 'text/plain; version=0.0.4';
 
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -20,12 +20,12 @@
   HttpServer,
   SYSTEM_CLOCK,
   SYSTEM_SCHEDULER,
+  createOperatorsRoutes,
   waitMs,
 } from '@sassafrasspan/runtime';
 import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
 import {ObjectWatch} from '../shared/object_watch';
-import {createOperatorsRoutes} from '../shared/operators_routes';
 import {NodeParts, createNodeParts} from '../shared/node_parts';
 import {createRulesReply} from '../shared/rules_feed';
 import type {AgentSettings} from '../shared/settings_schemas';
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -9,13 +9,13 @@
   LatencyHistograms,
   ListenAddress,
   SYSTEM_CLOCK,
+  createOperatorsRoutes,
   waitMs,
 } from '@sassafrasspan/runtime';
 import {ScoringClient, ScoringService} from '@sassafrasspan/scoring';
 import {TrainerBackend, createTrainerRoutes} from '@sassafrasspan/trainers';
 import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
-import {createOperatorsRoutes} from '../shared/operators_routes';
 import {NodeParts, createNodeParts} from '../shared/node_parts';
 import {createRulesReply} from '../shared/rules_feed';
 import type {EntrySettings} from '../shared/settings_schemas';
