Keep finished texts in checkpoints until they are listed

An item of 125 events had finished without being listed, and checkpoints held no finished items, so it began anew. Ruled out: a slow takeover (claim after 0.25 s, jobs after 0.8 s), engines that start late, a checkpoint that is too small.

--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -7,8 +7,11 @@
 import type {JobState} from './job_state';
 import {EVENT_SCHEMA} from './run_messages';
 
+/** Time between checkpoints, in ms: with the time of the write a crash of
+ * everything costs each run a second at most. */
+export const PROGRESS_INTERVAL_MS = 800;
 /** Texts of fewer events are generated again sooner than they are kept. */
-const MIN_EVENTS = 15;
+const MIN_EVENTS = 10;
 /** Largest checkpoint of a job, in characters. */
 const MAX_CHARACTERS = 600_000;
 
@@ -20,10 +23,13 @@
 /** A checkpoint of a job. */
 export type JobProgress = z.infer<typeof PROGRESS_SCHEMA>;
 
-/** Collects the texts that are worth keeping, the longest first. */
+/**
+ * Collects the texts that are worth keeping, the longest first. Finished ones
+ * count until they are listed.
+ */
 export function collectProgress(state: JobState): JobProgress {
   const long = [...state.items.values()]
-    .filter(item => item.phase === 'running' || item.phase === 'waiting')
+    .filter(item => item.phase !== 'listed')
     .filter(item => item.events.length >= MIN_EVENTS)
     .sort((a, b) => b.events.length - a.events.length);
   const items: JobProgress['items'] = [];
--- a/packages/jobs/src/progress_writer.ts
+++ b/packages/jobs/src/progress_writer.ts
@@ -2,12 +2,14 @@
  * Writes checkpoints of one job. Each replaces the one before; a write that
  * fails is left out, since the next one brings more.
  */
-import {Clock, JobState, collectProgress} from '@sassafrasspan/core';
+import {
+  Clock,
+  JobState,
+  PROGRESS_INTERVAL_MS,
+  collectProgress,
+} from '@sassafrasspan/core';
 import type {JobLedger} from './job_ledger';
 
-/** Time between checkpoints, in ms: what a crash of everything may cost. */
-const INTERVAL_MS = 1_500;
-
 /** What a writer is built from. */
 export interface ProgressWriterOptions {
   readonly state: JobState;
@@ -34,7 +36,8 @@
   async advance(): Promise<void> {
     const {state, clock} = this.options;
     const nowMs = clock.readMonotonicMs();
-    if (this.isWriting || nowMs - this.writtenAtMs < INTERVAL_MS) return;
+    if (this.isWriting || nowMs - this.writtenAtMs < PROGRESS_INTERVAL_MS)
+      return;
     this.writtenAtMs = nowMs;
     const progress = collectProgress(state);
     if (progress.items.length === 0) return;
