--- a/packages/jobs/src/progress_writer.ts
+++ b/packages/jobs/src/progress_writer.ts
@@ -36,8 +36,9 @@
   async advance(): Promise<void> {
     const {state, clock} = this.options;
     const nowMs = clock.readMonotonicMs();
-    if (this.isWriting || nowMs - this.writtenAtMs < PROGRESS_INTERVAL_MS)
+    if (this.isWriting || nowMs - this.writtenAtMs < PROGRESS_INTERVAL_MS) {
       return;
+    }
     this.writtenAtMs = nowMs;
     const progress = collectProgress(state);
     if (progress.items.length === 0) return;
