--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -255,7 +255,11 @@
     if (step.type === 'answer' && reply.type === 'answered') {
       return this.end(ok(reply.answer));
     }
-    if (step.type === 'fail') return this.end(err(step.error));
+    if (step.type === 'fail') {
+      const {error} = step;
+      const detail = `${error.detail}; the last: ${describeReason(reply)}`;
+      return this.end(err({...error, detail}));
+    }
     this.options.metrics.addCount('retries_total', {kind: end.type});
     this.options.log.writeEvent('request-retried', {
       requestId: this.matched.call.id,
