--- a/packages/harness/src/idempotency_keys.test.ts
+++ b/packages/harness/src/idempotency_keys.test.ts
@@ -73,10 +73,19 @@
   return {status, outcome, kind};
 }
 
-async function waitForStart(shift: string): Promise<void> {
+/** Waits until a call runs; an answer before that tells why it does not. */
+async function waitForStart(
+  shift: string,
+  call: Promise<CallerAnswer>,
+): Promise<void> {
+  let early: CallerAnswer | undefined;
+  void call.then(answer => (early = answer));
   await waitUntil(`shift ${shift} runs`, async () => {
-    return (await countExecutions(shift)) === 1;
+    return early !== undefined || (await countExecutions(shift)) === 1;
   });
+  if (early === undefined) return;
+  const {status, outcome, kind, text} = early;
+  throw new Error(`not running: ${status} ${outcome} ${kind} ${text}`);
 }
 
 test('a resend through another entry gets the first answer', async () => {
@@ -100,7 +109,7 @@
   await setFaults({delayMs: 1_500});
   const key = createIdempotencyKey();
   const first = sendShift(urls[0], 'running', key);
-  await waitForStart('running');
+  await waitForStart('running', first);
   const second = await sendShift(urls[1], 'running', key);
   await setFaults({delayMs: 0});
   expect(selectStatement(second)).toMatchSnapshot();
@@ -144,7 +153,7 @@
   await setFaults({delayMs: 1_500});
   const key = createIdempotencyKey();
   const first = sendShift(urls[0], 'killed', key);
-  await waitForStart('killed');
+  await waitForStart('killed', first);
   const plan = await findRunningPlan('killed');
   await system.getAgent(`agent-${plan.name}`).process.kill();
   const stated = await first;
