Share one set of waiting calls and one type of listener

Readers of a job, watchers of the hub and homes that follow an agent waited in three copies of the same code. The copy of the agent lost its first waiter when a second one came; the shared one does not.

--- a/packages/jobs/src/served_job.ts
+++ b/packages/jobs/src/served_job.ts
@@ -1,5 +1,6 @@
 /** A batch job at its home, with what is written and who waits for it. */
 import type {JobResult, JobState} from '@sassafrasspan/core';
+import {Waiters} from '@sassafrasspan/runtime';
 import type {JobWriter} from './job_writer';
 import type {ProgressWriter} from './progress_writer';
 
@@ -10,7 +11,7 @@
 export class ServedJob {
   /** When it was last asked for, on the monotonic clock. */
   usedAtMs = 0;
-  private readonly waiters = new Set<() => void>();
+  private readonly waiters = Waiters.create();
 
   private constructor(
     readonly state: JobState,
@@ -29,7 +30,7 @@
 
   /** Wakes the readers that wait. */
   wakeReaders(): void {
-    for (const wake of [...this.waiters]) wake();
+    this.waiters.wakeAll();
   }
 
   /** Waits for a result from a position on, at most for a time in ms. */
@@ -40,17 +41,7 @@
   ): Promise<void> {
     if (after < this.state.results.length || this.state.isEnded) return;
     if (limitMs <= 0) return;
-    await new Promise<void>(resolve => {
-      const finish = () => {
-        clearTimeout(timer);
-        this.waiters.delete(finish);
-        signal.removeEventListener('abort', finish);
-        resolve();
-      };
-      const timer = setTimeout(finish, limitMs);
-      this.waiters.add(finish);
-      signal.addEventListener('abort', finish, {once: true});
-    });
+    await this.waiters.wait(limitMs, signal);
   }
 
   /** Returns results from a position on, as many as one answer holds. */
--- a/packages/peers/src/cluster_watch.ts
+++ b/packages/peers/src/cluster_watch.ts
@@ -7,12 +7,12 @@
 import type {Clock, HomeRecord, RandomSource} from '@sassafrasspan/core';
 import {
   CollectionObject,
+  KindListener,
   KindWatch,
   ObjectCollections,
 } from '@sassafrasspan/platform';
 import {EventLog, waitMs} from '@sassafrasspan/runtime';
 import * as z from 'zod/mini';
-import type {HubListener} from './watch_hub';
 
 /** Kind of the objects of the cluster. */
 export const CLUSTER_KIND = 'sassafrasspan';
@@ -54,7 +54,7 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   /** Takes what the watch brings, for other nodes. */
-  readonly hub?: HubListener;
+  readonly hub?: KindListener;
   /** Hears of every change. */
   readonly onChanged: () => void;
 }
--- a/packages/peers/src/watch_hub.ts
+++ b/packages/peers/src/watch_hub.ts
@@ -9,7 +9,9 @@
   CollectionChanges,
   CollectionListing,
   CollectionObject,
+  KindListener,
 } from '@sassafrasspan/platform';
+import {Waiters} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import * as z from 'zod/mini';
 import {PeerContext, PeerRoutes, createHandler} from './peer_server';
@@ -44,7 +46,7 @@
   private oldestVersion = 0;
   private version = 0;
   private confirmedAtMs = -Infinity;
-  private readonly waiters = new Set<() => void>();
+  private readonly waiters = Waiters.create();
 
   private constructor(private readonly freshMs: number) {}
 
@@ -84,7 +86,7 @@
   private advance(storeVersion: number, nowMs: number): void {
     this.version = storeVersion;
     this.confirmedAtMs = nowMs;
-    for (const wake of [...this.waiters]) wake();
+    this.waiters.wakeAll();
   }
 
   isFresh(nowMs: number): boolean {
@@ -106,32 +108,10 @@
   }
 
   async waitForChange(limitMs: number, signal: AbortSignal): Promise<void> {
-    await new Promise<void>(resolve => {
-      const finish = () => {
-        clearTimeout(timer);
-        this.waiters.delete(finish);
-        signal.removeEventListener('abort', finish);
-        resolve();
-      };
-      const timer = setTimeout(finish, limitMs);
-      this.waiters.add(finish);
-      signal.addEventListener('abort', finish, {once: true});
-    });
+    await this.waiters.wait(limitMs, signal);
   }
 }
 
-/** Takes what a watch of a kind brings. */
-export interface HubListener {
-  readonly onListed: (
-    objects: readonly CollectionObject[],
-    storeVersion: number,
-  ) => void;
-  readonly onChanged: (
-    changes: readonly CollectionChange[],
-    storeVersion: number,
-  ) => void;
-}
-
 /** The hub of one node. */
 export class WatchHub {
   private readonly feeds = new Map<string, HubFeed>();
@@ -147,7 +127,7 @@
    * Offers a kind from now on; what its watch brings, with a wait of `waitMs`,
    * goes to the listener.
    */
-  offer(kind: string, waitMs: number): HubListener {
+  offer(kind: string, waitMs: number): KindListener {
     const feed = HubFeed.create(waitMs + FRESH_SLACK_MS);
     this.feeds.set(kind, feed);
     return {
--- a/packages/platform/src/kind_watch.ts
+++ b/packages/platform/src/kind_watch.ts
@@ -19,8 +19,22 @@
 /** Upper bound of that time, in ms: each refused call costs its price. */
 const MAX_BACKOFF_MS = 700;
 
+/** Takes what a watch of a kind brings. */
+export interface KindListener {
+  /** Takes a complete list. */
+  readonly onListed: (
+    objects: readonly CollectionObject[],
+    storeVersion: number,
+  ) => void;
+  /** Takes changes, in order; also none, when a wait has passed. */
+  readonly onChanged: (
+    changes: readonly CollectionChange[],
+    storeVersion: number,
+  ) => void;
+}
+
 /** What a watch is built from. */
-export interface KindWatchOptions {
+export interface KindWatchOptions extends KindListener {
   readonly store: ObjectCollections;
   readonly kind: string;
   readonly clock: Clock;
@@ -31,16 +45,6 @@
   readonly waitMs: number;
   /** Least time between two calls, in ms; collects changes into one call. */
   readonly paceMs: number;
-  /** Takes a complete list. */
-  readonly onListed: (
-    objects: readonly CollectionObject[],
-    storeVersion: number,
-  ) => void;
-  /** Takes changes, in order; also none, when a wait has passed. */
-  readonly onChanged: (
-    changes: readonly CollectionChange[],
-    storeVersion: number,
-  ) => void;
   /** Hears that the store does not answer. */
   readonly onAway?: () => void;
   /** Hears that the store answers again, before the list that follows. */
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -17,7 +17,7 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
-import {EventLog, Metrics, waitMs} from '@sassafrasspan/runtime';
+import {EventLog, Metrics, Waiters, waitMs} from '@sassafrasspan/runtime';
 import {PeerContext, PeerRoutes, createHandler} from '@sassafrasspan/peers';
 import {Result, err, ok} from 'neverthrow';
 import * as z from 'zod/mini';
@@ -73,7 +73,8 @@
   private home: KnownHome = {name: '', epoch: 0, contactAtMs: -Infinity};
   private engine = UNREACHABLE;
   private hasEngineNews = true;
-  private wakeSync: () => void = () => undefined;
+  /** Calls of homes that wait for news. */
+  private readonly syncs = Waiters.create();
   private wakeReport: () => void = () => undefined;
   private isStopped = false;
 
@@ -168,7 +169,7 @@
       JSON.stringify(before.versions) === JSON.stringify(state.versions);
     if (isSame) return;
     this.hasEngineNews = true;
-    this.wakeSync();
+    this.syncs.wakeAll();
   }
 
   private dropOrphans(): void {
@@ -189,7 +190,7 @@
       this.book.reset();
       this.hasEngineNews = true;
       this.options.log.writeEvent('home-changed', {home: name, epoch});
-      this.wakeSync();
+      this.syncs.wakeAll();
     }
     this.home.contactAtMs = this.readMs();
     return undefined;
@@ -230,23 +231,10 @@
       if (this.hasEngineNews || signal.aborted || isSuperseded) return;
       const restMs = Math.min(endsAtMs - nowMs, this.book.computeDueMs(nowMs));
       if (restMs <= 0) return;
-      await this.waitForWake(restMs, signal);
+      await this.syncs.wait(restMs, signal);
     }
   }
 
-  private waitForWake(delayMs: number, signal: AbortSignal): Promise<void> {
-    return new Promise(resolve => {
-      const timer = setTimeout(() => this.wakeSync(), delayMs);
-      this.wakeSync = () => {
-        clearTimeout(timer);
-        signal.removeEventListener('abort', this.wakeSync);
-        this.wakeSync = () => undefined;
-        resolve();
-      };
-      signal.addEventListener('abort', this.wakeSync, {once: true});
-    });
-  }
-
   private applyCommands(commands: AgentCommands): Result<object, ServiceError> {
     const refusal = this.acceptHome(commands.home, commands.epoch);
     if (refusal !== undefined) return err(refusal);
@@ -280,7 +268,7 @@
     const cancel = runner.startRun(order, {
       onEvent: event => {
         const isNews = this.book.addEvent(runId, event, this.readMs());
-        if (isNews) this.wakeSync();
+        if (isNews) this.syncs.wakeAll();
       },
       onEnd: (end, detail) => {
         this.cancels.delete(runId);
@@ -299,7 +287,7 @@
         };
         log.writeEvent('run-ended', fields);
         if (end === 'not-run' || end === 'broken') this.wakeReport();
-        this.wakeSync();
+        this.syncs.wakeAll();
       },
     });
     if (this.book.find(runId)?.end === undefined) {
@@ -313,7 +301,7 @@
     if (!this.book.end(runId, end, this.readMs())) return;
     cancel?.();
     this.options.log.writeEvent('run-stopped', {run: runId, end});
-    this.wakeSync();
+    this.syncs.wakeAll();
   }
 }
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -14,3 +14,4 @@
 export * from './http_caller';
 export * from './bounded_output';
 export * from './event_stream';
+export * from './waiters';
