--- a/packages/jobs/src/job_ledger.ts
+++ b/packages/jobs/src/job_ledger.ts
@@ -152,6 +152,8 @@
       job: {...header, items: items.value},
       records: records.value,
       isEnded: decoded.isEnded,
+      // Without its checkpoint a job begins some texts anew; waiting for it
+      // would hold all of them up.
       progress: decodeProgress(progress.unwrapOr(undefined)?.value),
     });
   }
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -2,6 +2,7 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {ServiceError, createError} from '@sassafrasspan/core';
 import {
+  EventLog,
   PeerAddress,
   describeError,
   parseJson,
@@ -52,7 +53,10 @@
 export class PeerServer {
   private readonly server: Server;
 
-  private constructor(private readonly routes: PeerRoutes) {
+  private constructor(
+    private readonly routes: PeerRoutes,
+    private readonly log: EventLog,
+  ) {
     this.server = createServer({keepAliveTimeout: KEEP_ALIVE_MS});
     this.server.on('request', (request, response) => {
       void this.handle(request, response);
@@ -60,8 +64,8 @@
   }
 
   /** Builds a server for a table of routes. */
-  static create(routes: PeerRoutes): PeerServer {
-    return new PeerServer(routes);
+  static create(routes: PeerRoutes, log: EventLog): PeerServer {
+    return new PeerServer(routes, log);
   }
 
   /** Starts to listen. */
@@ -111,7 +115,9 @@
     try {
       return await handler(value.value, {signal});
     } catch (error) {
-      return err(createError('internal', describeError(error)));
+      const stack = describeError(error);
+      this.log.writeEvent('process-fault', {path, stack});
+      return err(createError('internal', stack));
     }
   }
 }
