Claim only the place of the home that was found silent

Two nodes claim its place within 0.2 s of each other: the second one had asked the agents about the home before, learnt of the new one meanwhile, and replaced that. Ruled out: a store that takes a write under an old version; the claim named the new version.

--- a/packages/jobs/src/home_election_runner.ts
+++ b/packages/jobs/src/home_election_runner.ts
@@ -15,6 +15,7 @@
   HOME_NAME,
   HOME_SCHEMA,
   PeerClient,
+  VersionedHome,
 } from '@sassafrasspan/peers';
 import type {ObjectCollections} from '@sassafrasspan/platform';
 import {EventLog, parseAddress, waitMs} from '@sassafrasspan/runtime';
@@ -75,7 +76,9 @@
 
   /** Claims the home now, where the home itself hands it over. */
   async takeOver(): Promise<boolean> {
-    return !this.isDraining && (await this.claim());
+    return (
+      !this.isDraining && (await this.claim(this.options.cluster.getHome()))
+    );
   }
 
   /** Asks other nodes to take over; returns the one that did. */
@@ -96,15 +99,20 @@
     return undefined;
   }
 
-  private async advance(): Promise<void> {
-    const home = this.options.cluster.getHome()?.record;
+  /** Looks at the home once, and claims its place if it is silent. */
+  async advance(): Promise<void> {
+    const known = this.options.cluster.getHome();
+    const home = known?.record;
     this.trackEpoch(home);
     if (home !== undefined && !this.isOwn(home)) await this.probe(home);
-    const step = this.decide(undefined);
-    if (step === 'claim') await this.claim();
-    if (step !== 'ask-witnesses') return;
-    const witnesses = await this.askWitnesses();
-    if (this.decide(witnesses) === 'claim') await this.claim();
+    let step = this.decide(home, undefined);
+    if (step === 'ask-witnesses') {
+      step = this.decide(home, await this.askWitnesses());
+    }
+    if (step !== 'claim') return;
+    // A home that was elected meanwhile has its own time to answer.
+    const newest = this.options.cluster.getHome()?.record.epoch;
+    if (newest === home?.epoch) await this.claim(known);
   }
 
   private isOwn(home: HomeRecord): boolean {
@@ -120,9 +128,11 @@
     this.isRefused = false;
   }
 
-  private decide(witnesses: readonly WitnessView[] | undefined) {
-    const {cluster, name, incarnation, clock} = this.options;
-    const home = cluster.getHome()?.record;
+  private decide(
+    home: HomeRecord | undefined,
+    witnesses: readonly WitnessView[] | undefined,
+  ) {
+    const {name, incarnation, clock} = this.options;
     return decideElection({
       nowMs: clock.readMonotonicMs(),
       ownName: name,
@@ -185,9 +195,9 @@
     return replies.filter(reply => reply !== undefined);
   }
 
-  private async claim(): Promise<boolean> {
+  /** Claims the place of the home that was found silent. */
+  private async claim(known: VersionedHome | undefined): Promise<boolean> {
     const {name, incarnation, address, cluster, store, log} = this.options;
-    const known = cluster.getHome();
     const epoch = (known?.record.epoch ?? 0) + 1;
     const record: HomeRecord = {node: name, incarnation, address, epoch};
     const written =
