Take the items of a lost home from what its agents have

Ruled out: runs broken off by the agents (they end after the home is lost), text that the agents had forgotten (kept for 30 s). Change: a new home starts items when every agent has been heard, 300 ms at the most; a run that is whole or well ahead replaces the one begun anew; a link that was lost asks for whole texts.

--- a/packages/core/src/batch/home_planner.ts
+++ b/packages/core/src/batch/home_planner.ts
@@ -76,8 +76,9 @@
     return new HomePlanner(options);
   }
 
-  /** Returns the orders that follow from the state. */
-  plan(nowMs: number): RunnerOrders[] {
+  /** Returns the orders that follow from the state; no items start while
+   * `mayStart` is false. */
+  plan(nowMs: number, mayStart: boolean): RunnerOrders[] {
     const {book, pool} = this.options;
     this.expireJobs(nowMs);
     for (const {runId, endpointId} of book.carryOver.expireRuns(nowMs)) {
@@ -87,9 +88,9 @@
     pool.expireReservations(nowMs);
     const orders = OrderSheet.create();
     const jobs = book.list().map(state => this.describeJob(state));
-    this.startItems(jobs, ['carried', 'wanted'], orders, nowMs);
+    if (mayStart) this.startItems(jobs, ['carried', 'wanted'], orders, nowMs);
     this.moveRuns(jobs, orders, nowMs);
-    this.startItems(jobs, ['spare'], orders, nowMs);
+    if (mayStart) this.startItems(jobs, ['spare'], orders, nowMs);
     for (const [runId, endpointId] of pool.takeStops()) {
       orders.open(endpointId).stops.push(runId);
     }
--- a/packages/core/src/batch/home_scheduler.ts
+++ b/packages/core/src/batch/home_scheduler.ts
@@ -2,7 +2,7 @@
  * The home of batch jobs without its I/O: jobs, endpoints and runs. Everything
  * that arrives is applied to it, and `plan` returns the orders that follow.
  */
-import type {BatchJob, JobResult, RunEnd} from './batch_types';
+import type {BatchJob, JobResult, RunEnd, TextEvent} from './batch_types';
 import type {LingeringRun} from './carry_over';
 import {
   DEFAULT_POLICY,
@@ -16,6 +16,10 @@
 import {RunnerPool} from './runner_pool';
 import type {RunnerRegistration, RunnerState} from './runner_state';
 
+/** Time for agents to say what they have of the items of a new home, in ms:
+ * they answer within 20 ms, and those that are gone never do. */
+const HEAR_AGENTS_MS = 300;
+
 /** What a scheduler is built from. */
 export interface HomeSchedulerOptions {
   readonly findBounds: BoundsFinder;
@@ -31,6 +35,8 @@
   private readonly book: JobBook;
   private readonly pool = RunnerPool.create();
   private readonly planner: HomePlanner;
+  /** Up to when a new home waits for what agents have. */
+  private hearUntilMs = -Infinity;
 
   private constructor(options: HomeSchedulerOptions) {
     this.book = JobBook.create(options.findBounds);
@@ -50,6 +56,12 @@
     return new HomeScheduler(options);
   }
 
+  /** Begins as a new home: items start once every agent has said what it has
+   * of them, or after a while. */
+  startTakeover(nowMs: number): void {
+    this.hearUntilMs = nowMs + HEAR_AGENTS_MS;
+  }
+
   /** Lists the jobs that have not ended. */
   listOpenJobs(): JobState[] {
     return this.book.list();
@@ -161,10 +173,11 @@
     if (end !== undefined) runner.runs.delete(runId);
     if (isRejection(update)) runner.recordRejection(nowMs);
     if (this.book.carryOver.applyUpdate(update)) return;
+    const events = update.events.map(([data, version]) => ({data, version}));
+    this.yieldItem(update, events);
     const state = this.book.findJobOfRun(runId, jobId, itemId);
     if (state === undefined) return this.dropRun(runner, runId, end);
     if (!isFollowed) adoptRun(runner, state, update, nowMs);
-    const events = update.events.map(([data, version]) => ({data, version}));
     const isFine = state.addEvents(itemId, runId, update.from, events, nowMs);
     if (!isFine) this.dropRun(runner, runId, end);
     if (!isFine || end !== undefined) {
@@ -173,6 +186,17 @@
     }
   }
 
+  /** Lets a run that an agent tells of anew have its item, where another run
+   * was started meanwhile and is behind. */
+  private yieldItem(update: RunUpdate, events: readonly TextEvent[]): void {
+    const {runId, jobId, itemId, from, end} = update;
+    if (from !== 0 || (end !== undefined && end !== 'completed')) return;
+    const state = this.book.find(jobId);
+    if (state?.items.get(itemId)?.run?.runId === runId) return;
+    const run = state?.yieldRun(itemId, events, end === 'completed');
+    if (run !== undefined) this.pool.stopRun(run.runId, run.endpointId);
+  }
+
   private dropRun(
     runner: RunnerState,
     runId: string,
@@ -184,7 +208,8 @@
 
   /** Returns the orders that follow from the state. */
   plan(nowMs: number): RunnerOrders[] {
-    return this.planner.plan(nowMs);
+    const mayStart = nowMs >= this.hearUntilMs || this.pool.isHeard();
+    return this.planner.plan(nowMs, mayStart);
   }
 }
 
--- a/packages/core/src/batch/job_book.ts
+++ b/packages/core/src/batch/job_book.ts
@@ -115,6 +115,11 @@
     }
   }
 
+  /** Finds an open job. */
+  find(id: string): JobState | undefined {
+    return this.jobs.get(id);
+  }
+
   /** Finds the job whose item a run works on, or could work on. */
   findJobOfRun(
     runId: string,
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -19,6 +19,9 @@
   broken: 20,
   failed: 100,
 };
+/** Events by which a run that an agent tells of must be ahead of the present
+ * one to replace it: about a fifth of a second of generation. */
+const MIN_LEAD_EVENTS = 5;
 /** Endpoints that may break off while they run an item, none having made an
  * event of it, before it counts as one that crashes endpoints. */
 const MAX_BARREN_BREAKS = 3;
@@ -204,10 +207,24 @@
     }
   }
 
-  /** Drops text that cannot be used, so that the item begins anew. */
-  clearText(itemId: string): void {
+  /**
+   * Takes an item from its present run in favour of another with this text,
+   * if that is whole or well ahead. Returns the run that is given up.
+   */
+  yieldRun(
+    itemId: string,
+    events: readonly TextEvent[],
+    isWhole: boolean,
+  ): ItemRun | undefined {
     const state = this.items.get(itemId);
-    if (state !== undefined && state.phase === 'waiting') state.events = [];
+    if (state?.phase !== 'running') return undefined;
+    const lead = events.length - state.events.length;
+    const isAhead = isWhole || lead >= MIN_LEAD_EVENTS;
+    if (!isAhead || !this.hasFreshVersions(events)) return undefined;
+    const {run} = state;
+    state.run = undefined;
+    state.phase = 'waiting';
+    return run;
   }
 
   /** Lists results that wait for their place in the log. */
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -59,6 +59,8 @@
   /** Runs whose results are safe and that may be forgotten. */
   releases: z.array(z.string()),
   waitMs: z.number(),
+  /** Whether the home knows nothing of the agent's runs, or gave them up. */
+  isAnew: z.boolean(),
 });
 
 /** Schema of news of a run. */
--- a/packages/core/src/batch/runner_pool.ts
+++ b/packages/core/src/batch/runner_pool.ts
@@ -28,6 +28,11 @@
     return [...this.runners.values()];
   }
 
+  /** Tells whether every agent has said what it has. */
+  isHeard(): boolean {
+    return this.list().every(runner => runner.engine !== undefined);
+  }
+
   /** Takes a registration. */
   put(registration: RunnerRegistration): void {
     const known = this.runners.get(registration.endpointId);
--- a/packages/jobs/src/agent_link.ts
+++ b/packages/jobs/src/agent_link.ts
@@ -113,7 +113,14 @@
     const reply = await peers.call({
       address,
       path: '/agent/sync',
-      body: {home, epoch, after: this.after, releases, waitMs: SYNC_WAIT_MS},
+      body: {
+        home,
+        epoch,
+        after: this.after,
+        releases,
+        waitMs: SYNC_WAIT_MS,
+        isAnew: this.isLost,
+      },
       schema: SYNC_ANSWER_SCHEMA,
       timeoutMs: SYNC_WAIT_MS + SYNC_SLACK_MS,
       signal: this.controller.signal,
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -115,6 +115,7 @@
       if (job.isErr()) return err(job.error);
       if (job.value !== undefined) this.serveJob(job.value);
     }
+    this.scheduler.startTakeover(this.readMs());
     this.timers = [
       setInterval(() => this.planNow(), PLAN_INTERVAL_MS),
       setInterval(() => this.sweepJobs(), SWEEP_INTERVAL_MS),
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -202,7 +202,8 @@
   ): Promise<Result<SyncAnswer, ServiceError>> {
     const refusal = this.acceptHome(call.home, call.epoch);
     if (refusal !== undefined) return err(refusal);
-    this.book.acknowledge(call.after);
+    if (call.isAnew) this.book.reset();
+    else this.book.acknowledge(call.after);
     this.book.release(call.releases);
     await this.waitForNews(call, context.signal);
     if (context.signal.aborted) {
