--- a/packages/core/src/batch/home_scheduler.ts
+++ b/packages/core/src/batch/home_scheduler.ts
@@ -174,7 +174,7 @@
     if (isRejection(update)) runner.recordRejection(nowMs);
     if (this.book.carryOver.applyUpdate(update)) return;
     const events = update.events.map(([data, version]) => ({data, version}));
-    this.yieldItem(update, events);
+    this.replaceRun(update, events);
     const state = this.book.findJobOfRun(runId, jobId, itemId);
     if (state === undefined) return this.dropRun(runner, runId, end);
     if (!isFollowed) adoptRun(runner, state, update, nowMs);
@@ -188,12 +188,12 @@
 
   /** Lets a run that an agent tells of anew have its item, where another run
    * was started meanwhile and is behind. */
-  private yieldItem(update: RunUpdate, events: readonly TextEvent[]): void {
+  private replaceRun(update: RunUpdate, events: readonly TextEvent[]): void {
     const {runId, jobId, itemId, from, end} = update;
     if (from !== 0 || (end !== undefined && end !== 'completed')) return;
     const state = this.book.find(jobId);
     if (state?.items.get(itemId)?.run?.runId === runId) return;
-    const run = state?.yieldRun(itemId, events, end === 'completed');
+    const run = state?.releaseRun(itemId, events, end === 'completed');
     if (run !== undefined) this.pool.stopRun(run.runId, run.endpointId);
   }
 
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -211,7 +211,7 @@
    * Takes an item from its present run in favour of another with this text,
    * if that is whole or well ahead. Returns the run that is given up.
    */
-  yieldRun(
+  releaseRun(
     itemId: string,
     events: readonly TextEvent[],
     isWhole: boolean,
