Keep texts to one weight version where the route asks for it

Cause: the configuration's single_version was decoded and used nowhere; a text whose engine loads a version on the way would have named two. Change: the job keeps what its route asked; text of another version is dropped before an item goes on, and loads for such models let runs finish first. Test: a fuzzed job under loads, crashes and lost homes has one version in each text; fails before.

--- a/packages/core/src/batch/batch_policy.test.ts
+++ b/packages/core/src/batch/batch_policy.test.ts
@@ -210,3 +210,16 @@
   expect(world.advanceUntil(isLoaded, 5_000)).toBe(true);
   expect(most).toBe(2);
 });
+
+test.each([false, true])(
+  'runs of a single version %s end before a load',
+  is => {
+    const {world} = createWorld(10);
+    const job = createWorldJob({id: 'a', groups: 2, size: 4, desiredGroups: 2});
+    world.openJob({...job, isSingleVersion: is});
+    world.scheduler.setNewest('m', 2);
+    const orders = world.scheduler.plan(world.nowMs);
+    const loads = orders.flatMap(order => order.loads);
+    expect(loads.map(load => load.finishesRuns)).toEqual([is, is]);
+  },
+);
--- a/packages/core/src/batch/batch_types.ts
+++ b/packages/core/src/batch/batch_types.ts
@@ -31,6 +31,8 @@
   /** Model whose weights generate, and the oldest version that may. */
   model: z.string(),
   minVersion: z.number(),
+  /** Whether one version must generate all of an item's text. */
+  isSingleVersion: z._default(z.boolean(), false),
   /** Whole groups that the trainer waits for. */
   desiredGroups: z.number(),
   /** Step of the trainer. */
--- a/packages/core/src/batch/home_planner.ts
+++ b/packages/core/src/batch/home_planner.ts
@@ -190,6 +190,8 @@
     const {job} = state;
     const {id, path, headers, body} = item.item;
     const runId = createRunId();
+    const version = pool.find(endpointId)?.getVersion(job.model) ?? 0;
+    state.clearMixedText(id, version);
     const firstEvent = item.events.length;
     pool.release(id);
     const run = {runId, endpointId, startedAtMs: nowMs, firstEvent};
@@ -220,8 +222,12 @@
       runners: pool.list(),
       nowMs,
     });
+    const single = book.list().filter(state => state.job.isSingleVersion);
+    const models = new Set(single.map(state => state.job.model));
     for (const load of loads) {
-      orders.open(load.endpointId).loads.push({...load, fencingNumber: epoch});
+      const finishesRuns = models.has(load.model);
+      const order = {...load, fencingNumber: epoch, finishesRuns};
+      orders.open(load.endpointId).loads.push(order);
     }
   }
 }
--- a/packages/core/src/batch/home_scheduler.fuzz.test.ts
+++ b/packages/core/src/batch/home_scheduler.fuzz.test.ts
@@ -108,6 +108,35 @@
   );
 });
 
+test('a job that asks for it has texts of one version each', () => {
+  fc.assert(
+    fc.property(fc.array(FAULT, {maxLength: 25}), faults => {
+      const world = BatchWorld.create({engines: 4, slots: 3, countEvents});
+      const versions = [1];
+      world.openJob(
+        createWorldJob({
+          id: 'a',
+          groups: 6,
+          size: 4,
+          desiredGroups: 5,
+          isSingleVersion: true,
+        }),
+      );
+      for (const fault of faults) {
+        applyFault(world, fault, versions);
+        world.advance(100);
+      }
+      applyFault(world, {type: 'heal'}, versions);
+      const isDone = () => world.findJob('a')?.results.length === ITEMS;
+      expect(world.advanceUntil(isDone, 30_000)).toBe(true);
+      const results = (world.logs.get('a') ?? []).flat();
+      checkResults(results, 1);
+      expect(results.every(({versions: by}) => by.length === 1)).toBe(true);
+    }),
+    readFuzzParameters(4, 60),
+  );
+});
+
 test('no item starts after the end of its job', () => {
   fc.assert(
     fc.property(
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -126,7 +126,7 @@
   adoptText(itemId: string, events: readonly TextEvent[]): boolean {
     const state = this.items.get(itemId);
     const isWaiting = state?.phase === 'waiting';
-    if (!isWaiting || !this.hasFreshVersions(events)) return false;
+    if (!isWaiting || !this.hasFittingVersions(events)) return false;
     state.events = [...events];
     return true;
   }
@@ -134,16 +134,32 @@
   /** Takes over a result of an earlier job, if its versions fit. */
   adoptResult(result: JobResult): boolean {
     const state = this.items.get(result.itemId);
-    const {minVersion} = this.job;
+    const {minVersion, isSingleVersion} = this.job;
     const isFresh = result.versions.every(version => version >= minVersion);
-    if (state?.phase !== 'waiting' || !isFresh) return false;
+    const isMixed = isSingleVersion && result.versions.length > 1;
+    if (state?.phase !== 'waiting' || !isFresh || isMixed) return false;
     finishItem(state, result);
     return true;
   }
 
-  /** Tells whether text may be used: no event is of too old a version. */
-  hasFreshVersions(events: readonly TextEvent[]): boolean {
-    return events.every(event => event.version >= this.job.minVersion);
+  /** Tells whether text may be used: no event is of too old a version, and
+   * all are of one where the job asks for that. */
+  hasFittingVersions(events: readonly TextEvent[]): boolean {
+    const {minVersion, isSingleVersion} = this.job;
+    const first = events[0]?.version;
+    return events.every(
+      ({version}) =>
+        version >= minVersion && (!isSingleVersion || version === first),
+    );
+  }
+
+  /** Drops text that an endpoint of a version could not go on with. */
+  clearMixedText(itemId: string, version: number): void {
+    const state = this.items.get(itemId);
+    const isMixed = state?.events.at(-1)?.version !== version;
+    if (state !== undefined && this.job.isSingleVersion && isMixed) {
+      state.events = [];
+    }
   }
 
   /** Notes that a run was sent to an endpoint. */
@@ -170,8 +186,9 @@
     const state = this.items.get(itemId);
     if (state?.phase !== 'running' || state.run?.runId !== runId) return false;
     if (firstEvent > state.events.length) return false;
-    if (!this.hasFreshVersions(events)) return false;
     const fresh = events.slice(state.events.length - firstEvent);
+    if (!this.hasFittingVersions([...state.events.slice(-1), ...fresh]))
+      return false;
     if (fresh.length === 0) return true;
     state.events.push(...fresh);
     state.progressAtMs = nowMs;
@@ -220,7 +237,7 @@
     if (state?.phase !== 'running') return undefined;
     const lead = events.length - state.events.length;
     const isAhead = isWhole || lead >= MIN_LEAD_EVENTS;
-    if (!isAhead || !this.hasFreshVersions(events)) return undefined;
+    if (!isAhead || !this.hasFittingVersions(events)) return undefined;
     const {run} = state;
     state.run = undefined;
     state.phase = 'waiting';
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -37,6 +37,8 @@
   version: z.number(),
   /** Epoch of the home that orders it, won from the store. */
   fencingNumber: z.number(),
+  /** Whether runs end under the version before; else they go on. */
+  finishesRuns: z.boolean(),
 });
 
 /** Schema of what a home tells an agent to do. */
--- a/packages/core/src/testing/batch_world.ts
+++ b/packages/core/src/testing/batch_world.ts
@@ -304,6 +304,7 @@
   readonly size: number;
   readonly desiredGroups: number;
   readonly minVersion?: number;
+  readonly isSingleVersion?: boolean;
   /** The trainer's estimate of an item's tokens. */
   readonly estimateTokens?: (itemId: string) => number;
   /** Items of earlier jobs that come again, whole groups. */
@@ -333,6 +334,7 @@
     route: 'r',
     model: 'm',
     minVersion: options.minVersion ?? 1,
+    isSingleVersion: options.isSingleVersion ?? false,
     desiredGroups: options.desiredGroups,
     step: 0,
     acceptedAtMs: 0,
--- a/packages/runs/src/engine_ports.ts
+++ b/packages/runs/src/engine_ports.ts
@@ -34,6 +34,8 @@
   readonly version: number;
   readonly holder: string;
   readonly fencingNumber: number;
+  /** Whether runs end under the version before; else they go on. */
+  readonly finishesRuns: boolean;
   /** The engine refuses the order unless it has accepted as many. */
   readonly orderSequence: number;
 }
--- a/packages/runs/src/weight_loader.ts
+++ b/packages/runs/src/weight_loader.ts
@@ -77,7 +77,7 @@
     report: EngineReport,
   ): Promise<void> {
     const {control, holder, log} = this.options;
-    const {endpointId, model, version, fencingNumber} = order;
+    const {endpointId, model, version, fencingNumber, finishesRuns} = order;
     const {orderSequence} = report;
     log.writeEvent('swap-started', {endpoint: endpointId, model, version});
     const answer = await control.orderVersion({
@@ -86,6 +86,7 @@
       version,
       holder,
       fencingNumber,
+      finishesRuns,
       orderSequence,
     });
     if (answer.isErr()) {
