--- a/packages/calls/src/call_forwarder.test.ts
+++ b/packages/calls/src/call_forwarder.test.ts
@@ -5,6 +5,7 @@
   EndpointPool,
   Quarantine,
   Route,
+  RouteBurn,
   RouteKind,
 } from '@sassafrasspan/core';
 import {Metrics, SILENT_LOG, SYSTEM_CLOCK} from '@sassafrasspan/runtime';
@@ -111,6 +112,7 @@
     random: drawHalf,
     log: SILENT_LOG,
     metrics: Metrics.create(),
+    burn: RouteBurn.create(),
   });
   const result = await forwarder.forward({
     call: {
--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -12,6 +12,7 @@
   EndpointPool,
   Quarantine,
   RandomSource,
+  RouteBurn,
   ServiceError,
   computeHedgeDelay,
   createError,
@@ -39,6 +40,7 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  readonly burn: RouteBurn;
 }
 
 /** Answer to a call. */
@@ -86,7 +88,10 @@
     result: CallResult,
     tookMs: number,
   ): void {
-    const {log, metrics} = this.options;
+    const {log, metrics, burn, clock} = this.options;
+    const {name, targetLatencyMs} = matched.route;
+    const kind = result.isErr() ? result.error.kind : undefined;
+    burn.recordCall(name, targetLatencyMs, tookMs, kind, clock.readWallMs());
     const common = {
       requestId: matched.call.id,
       route: matched.route.name,
@@ -99,8 +104,8 @@
       metrics.addCount('requests_answered_total');
       return log.writeEvent('request-answered', {...common, status});
     }
-    const {kind, detail} = result.error;
-    metrics.addCount('requests_failed_total', {kind});
+    const {detail} = result.error;
+    metrics.addCount('requests_failed_total', {kind: result.error.kind});
     log.writeEvent('request-failed', {...common, kind, detail});
   }
 }
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -8,6 +8,7 @@
   Quarantine,
   RandomSource,
   Route,
+  RouteBurn,
   RouteTable,
   ServiceError,
   createError,
@@ -49,6 +50,7 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  readonly burn: RouteBurn;
   /** Hears of routes that came into force. */
   readonly onRoutes: (table: RouteTable) => void;
 }
@@ -74,7 +76,8 @@
   private isDraining = false;
 
   private constructor(private readonly options: EntryRoleOptions) {
-    const {failureDomain, caller, clock, random, log, metrics, peers} = options;
+    const {failureDomain, caller, clock, random, log, metrics, peers, burn} =
+      options;
     this.fleet = FleetState.create({
       clock,
       log,
@@ -96,6 +99,7 @@
       random,
       log,
       metrics,
+      burn,
     });
   }
 
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -187,8 +187,9 @@
     if (state?.phase !== 'running' || state.run?.runId !== runId) return false;
     if (firstEvent > state.events.length) return false;
     const fresh = events.slice(state.events.length - firstEvent);
-    if (!this.hasFittingVersions([...state.events.slice(-1), ...fresh]))
+    if (!this.hasFittingVersions([...state.events.slice(-1), ...fresh])) {
       return false;
+    }
     if (fresh.length === 0) return true;
     state.events.push(...fresh);
     state.progressAtMs = nowMs;
--- a/packages/core/src/burn/burn_book.ts
+++ b/packages/core/src/burn/burn_book.ts
@@ -11,26 +11,11 @@
   RuleOf,
 } from '../rules/rule_schemas';
 import {BurnCounter, WindowCount} from './burn_counter';
+import {isCallerFault} from './caller_kinds';
 import {formatCallSubject, readPromise} from './promise_kinds';
 
 const MS_PER_SECOND = 1_000;
 
-/** Failures that the caller brought about; they break no promise. */
-const CALLER_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
-  'bad-request',
-  'unauthenticated',
-  'forbidden',
-  'not-found',
-  'slow-sender',
-  'conflict',
-  'in-progress',
-  'key-forgotten',
-  'body-too-large',
-  'headers-too-large',
-  'quarantined',
-  'limit-exceeded',
-]);
-
 /** A call that has ended. */
 export interface EndedCall {
   readonly customer: string;
@@ -75,7 +60,7 @@
 
   /** Counts a call; one that its caller is to blame for is left out. */
   recordCall(call: EndedCall, nowMs: number): void {
-    if (call.kind !== undefined && CALLER_KINDS.has(call.kind)) return;
+    if (isCallerFault(call.kind)) return;
     const subject = formatCallSubject(call.customer, call.service);
     const isAnswered = call.kind === undefined;
     this.countEvents('latency', subject, nowMs, [
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** The decisions of the system: pure, without I/O or timers. */
 export * from './burn/burn_book';
 export * from './burn/burn_counter';
+export * from './burn/route_burn';
 export * from './burn/promise_kinds';
 export * from './errors/error_kinds';
 export * from './events/event_table';
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -8,6 +8,8 @@
   BoundsFinder,
   Clock,
   HomeScheduler,
+  JobState,
+  RouteBurn,
   ServiceError,
   createError,
   restoreProgress,
@@ -53,6 +55,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  readonly burn: RouteBurn;
   /** Hears that a later home has taken over. */
   readonly onSuperseded: (detail: string) => void;
 }
@@ -285,6 +288,7 @@
       clock,
       log,
       onListed: listed => {
+        this.countResults(state, listed.length);
         this.links.release(listed.map(result => result.itemId));
         served.wakeReaders();
       },
@@ -301,6 +305,16 @@
     return served;
   }
 
+  private countResults(state: JobState, count: number): void {
+    const {burn, clock, findBounds} = this.options;
+    const bounds = findBounds(state.job);
+    if (bounds === undefined) return;
+    const tookMs = this.readMs() - state.acceptedAtMs;
+    const {runDeadlineMs} = bounds;
+    const {route} = state.job;
+    burn.recordResults(route, runDeadlineMs, tookMs, count, clock.readWallMs());
+  }
+
   private reportEnd(served: ServedJob): void {
     const {state} = served;
     this.links.release(state.items.keys());
--- a/packages/jobs/src/home_role.ts
+++ b/packages/jobs/src/home_role.ts
@@ -8,6 +8,7 @@
   HomeRecord,
   JobBounds,
   RandomSource,
+  RouteBurn,
   RunnerRegistration,
   ServiceError,
   createError,
@@ -60,6 +61,7 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  readonly burn: RouteBurn;
 }
 
 /** Result of a call to the home. */
