Keep one checkpoint for all jobs of a home

Change: one checkpoint in as few parts as its size allows; a new home lists it once, and reading a job takes one call less.

--- a/packages/core/src/batch/progress.test.ts
+++ b/packages/core/src/batch/progress.test.ts
@@ -37,7 +37,7 @@
     mostLost = Math.max(mostLost, countLostEvents(state, kept));
     if (world.nowMs - keptAtMs < PROGRESS_INTERVAL_MS) continue;
     keptAtMs = world.nowMs;
-    const {items} = collectProgress(state);
+    const items = collectProgress([state]).flatMap(part => part.items);
     kept = new Map(items.map(item => [item.itemId, item.events.length]));
   }
   expect(mostLost).toBeGreaterThan(0);
--- a/packages/core/src/batch/takeover.test.ts
+++ b/packages/core/src/batch/takeover.test.ts
@@ -97,7 +97,8 @@
 function createHasty() {
   const {scheduler, state} = createHome();
   const progress = createText(3);
-  restoreProgress(state, {items: [{itemId: 'a-0', events: progress}]});
+  const items = [{jobId: 'a', itemId: 'a-0', events: progress}];
+  restoreProgress(state, [{items}]);
   scheduler.applySync('first', [], ENGINE, 10);
   const [started] = scheduler.plan(LONG_MS).flatMap(orders => orders.starts);
   return {scheduler, state, started};
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -8,6 +8,7 @@
   BoundsFinder,
   Clock,
   HomeScheduler,
+  JobProgress,
   JobState,
   RouteBurn,
   ServiceError,
@@ -67,6 +68,7 @@
 export class HomeNode {
   private readonly scheduler: HomeScheduler;
   private readonly links: AgentLinks;
+  private readonly progress: ProgressWriter;
   private readonly jobs = new Map<string, ServedJob>();
   /** Jobs whose objects are in the store, with their time of acceptance. */
   private readonly kept = new Map<string, number>();
@@ -85,6 +87,11 @@
       createRunId: () => `${options.epoch}.${(this.runCount += 1)}`,
     });
     const {name, epoch, peers, clock, log, onSuperseded} = options;
+    this.progress = ProgressWriter.create({
+      listJobs: () => this.scheduler.listOpenJobs(),
+      ledger: options.ledger,
+      clock: options.clock,
+    });
     this.links = AgentLinks.create({
       name,
       epoch,
@@ -104,7 +111,10 @@
 
   /** Takes up the jobs that the store keeps. */
   async start(): HomeAnswer<void> {
-    const headers = await this.options.ledger.listJobs();
+    const [headers, checkpoint] = await Promise.all([
+      this.options.ledger.listJobs(),
+      this.options.ledger.readProgress(),
+    ]);
     if (headers.isErr()) return err(headers.error);
     const sorted = [...headers.value].sort(
       (a, b) => a.acceptedAtMs - b.acceptedAtMs,
@@ -116,7 +126,9 @@
     );
     for (const job of jobs) {
       if (job.isErr()) return err(job.error);
-      if (job.value !== undefined) this.serveJob(job.value);
+      if (job.value === undefined) continue;
+      const {state} = this.serveJob(job.value);
+      restoreProgress(state, this.readCheckpoint(checkpoint));
     }
     this.scheduler.startTakeover(this.readMs());
     this.timers = [
@@ -127,6 +139,17 @@
     return ok(undefined);
   }
 
+  /** Without its checkpoint a home begins some texts anew; waiting for it would
+   * hold all of them up. */
+  private readCheckpoint(
+    checkpoint: Result<JobProgress[], ServiceError>,
+  ): JobProgress[] {
+    if (checkpoint.isOk()) return checkpoint.value;
+    const {detail} = checkpoint.error;
+    this.options.log.writeEvent('platform-down', {kind: 'checkpoint', detail});
+    return [];
+  }
+
   /** Learns from the last ended jobs which items later ones may have again. */
   private async learnEnded(headers: readonly JobHeader[]): Promise<void> {
     const sinceMs = this.options.clock.readWallMs() - LEARN_AGE_MS;
@@ -193,8 +216,7 @@
     const items = job.items.length;
     const fields = {requestId, items, step, minVersion, epoch};
     log.writeEvent('job-accepted', fields);
-    const progress = {items: []};
-    this.serveJob({job, records: [], isEnded: false, progress});
+    this.serveJob({job, records: [], isEnded: false});
     this.planNow();
     return ok({});
   }
@@ -279,7 +301,6 @@
     const state = isEnded
       ? this.scheduler.restoreEnded(job, acceptedAtMs, results)
       : this.scheduler.openJob(job, acceptedAtMs, results);
-    if (!isEnded) restoreProgress(state, kept.progress);
     const writer = JobWriter.create({
       state,
       ledger,
@@ -293,8 +314,7 @@
         served.wakeReaders();
       },
     });
-    const progress = ProgressWriter.create({state, ledger, clock});
-    const served: ServedJob = ServedJob.create(state, writer, progress);
+    const served: ServedJob = ServedJob.create(state, writer);
     served.usedAtMs = this.readMs();
     this.jobs.set(job.id, served);
     this.kept.set(job.id, job.acceptedAtMs);
@@ -360,11 +380,10 @@
   private planNow(): void {
     this.isPlanned = false;
     if (this.isStopped) return;
-    for (const {state, writer, progress} of this.jobs.values()) {
-      if (state.isEnded) continue;
-      writer.schedule();
-      void progress.advance();
+    for (const {state, writer} of this.jobs.values()) {
+      if (!state.isEnded) writer.schedule();
     }
+    void this.progress.advance();
     for (const orders of this.scheduler.plan(this.readMs())) {
       void this.links.send(orders);
     }
--- a/packages/jobs/src/job_ledger.ts
+++ b/packages/jobs/src/job_ledger.ts
@@ -61,8 +61,6 @@
   /** Records in order, without a gap. */
   readonly records: readonly LogRecord[];
   readonly isEnded: boolean;
-  /** Texts that were under way. */
-  readonly progress: JobProgress;
 }
 
 /** What a list of jobs tells of one. */
@@ -133,10 +131,9 @@
 
   /** Reads a job with its log; undefined when there is none. */
   async readJob(id: string): StoreAnswer<KeptJob | undefined> {
-    const [found, records, progress] = await Promise.all([
+    const [found, records] = await Promise.all([
       this.store.readObject(HEADER_KIND, id),
       this.readLog(id),
-      this.store.readObject(PROGRESS_KIND, id),
     ]);
     if (found.isErr()) return err(found.error);
     if (records.isErr()) return err(records.error);
@@ -152,9 +149,6 @@
       job: {...header, items: items.value},
       records: records.value,
       isEnded: decoded.isEnded,
-      // Without its checkpoint a job begins some texts anew; waiting for it
-      // would hold all of them up.
-      progress: decodeProgress(progress.unwrapOr(undefined)?.value),
     });
   }
 
@@ -192,25 +186,39 @@
       : ok(found.value);
   }
 
-  /** Keeps the texts that are under way, in place of earlier ones. */
+  /** Keeps a part of the checkpoint, in place of an earlier one. */
   async writeProgress(
-    id: string,
+    part: number,
     progress: JobProgress,
     version: number | undefined,
   ): StoreAnswer<number> {
+    const name = String(part);
     const written =
       version === undefined
-        ? await this.store.createObject(PROGRESS_KIND, id, progress)
-        : await this.store.replaceObject(PROGRESS_KIND, id, progress, version);
+        ? await this.store.createObject(PROGRESS_KIND, name, progress)
+        : await this.store.replaceObject(
+            PROGRESS_KIND,
+            name,
+            progress,
+            version,
+          );
     return written.map(object => object.version);
   }
 
-  /** Returns the version of a job's progress; undefined without one. */
-  async findProgressVersion(id: string): StoreAnswer<number | undefined> {
-    const found = await this.store.readObject(PROGRESS_KIND, id);
+  /** Returns the version of a part of the checkpoint; undefined without one. */
+  async findProgressVersion(part: number): StoreAnswer<number | undefined> {
+    const found = await this.store.readObject(PROGRESS_KIND, String(part));
     return found.map(object => object?.version);
   }
 
+  /** Reads every part of the checkpoint. */
+  async readProgress(): StoreAnswer<JobProgress[]> {
+    const listing = await this.store.listObjects(PROGRESS_KIND);
+    return listing.map(({objects}) =>
+      objects.map(object => decodeProgress(object.value)),
+    );
+  }
+
   /** Removes a job with its log. */
   async removeJob(id: string): StoreAnswer<void> {
     const kept = await this.store.readObject(HEADER_KIND, id);
@@ -222,7 +230,6 @@
     for (let index = 0; index < (decoded?.header.parts ?? 0); index++) {
       await this.store.removeObject(ITEMS_KIND, formatPart(id, index));
     }
-    await this.store.removeObject(PROGRESS_KIND, id);
     const kind = formatLogKind(id);
     const log = await this.store.listObjects(kind);
     if (log.isErr()) return err(log.error);
--- a/packages/jobs/src/progress_writer.ts
+++ b/packages/jobs/src/progress_writer.ts
@@ -1,9 +1,10 @@
 /**
- * Writes checkpoints of one job. Each replaces the one before; a write that
- * fails is left out, since the next one brings more.
+ * Writes the checkpoint of a home's open jobs. Each part replaces the one
+ * before; a write that fails is left out, since the next one brings more.
  */
 import {
   Clock,
+  JobProgress,
   JobState,
   PROGRESS_INTERVAL_MS,
   collectProgress,
@@ -12,14 +13,15 @@
 
 /** What a writer is built from. */
 export interface ProgressWriterOptions {
-  readonly state: JobState;
+  readonly listJobs: () => readonly JobState[];
   readonly ledger: JobLedger;
   readonly clock: Clock;
 }
 
-/** The writer of one job's checkpoints. */
+/** The writer of a home's checkpoint. */
 export class ProgressWriter {
-  private version: number | undefined;
+  /** Version in the store of each part that is there. */
+  private versions: Array<number | undefined> = [];
   private writtenAtMs: number;
   private isWriting = false;
 
@@ -34,23 +36,25 @@
 
   /** Writes a checkpoint if one is due. */
   async advance(): Promise<void> {
-    const {state, clock} = this.options;
+    const {listJobs, clock} = this.options;
     const nowMs = clock.readMonotonicMs();
     if (this.isWriting || nowMs - this.writtenAtMs < PROGRESS_INTERVAL_MS) {
       return;
     }
     this.writtenAtMs = nowMs;
-    const progress = collectProgress(state);
-    if (progress.items.length === 0) return;
     this.isWriting = true;
+    const parts = collectProgress(listJobs());
+    await Promise.all(parts.map((part, at) => this.writePart(part, at)));
+    this.isWriting = false;
+  }
+
+  private async writePart(part: JobProgress, at: number): Promise<void> {
     const {ledger} = this.options;
-    const {id} = state.job;
-    const written = await ledger.writeProgress(id, progress, this.version);
-    if (written.isOk()) this.version = written.value;
+    const written = await ledger.writeProgress(at, part, this.versions[at]);
+    if (written.isOk()) this.versions[at] = written.value;
     else if (written.error.kind === 'conflict') {
-      const found = await ledger.findProgressVersion(id);
-      if (found.isOk()) this.version = found.value;
+      const found = await ledger.findProgressVersion(at);
+      if (found.isOk()) this.versions[at] = found.value;
     }
-    this.isWriting = false;
   }
 }
--- a/packages/jobs/src/served_job.ts
+++ b/packages/jobs/src/served_job.ts
@@ -2,12 +2,11 @@
 import type {JobResult, JobState} from '@sassafrasspan/core';
 import {Waiters} from '@sassafrasspan/runtime';
 import type {JobWriter} from './job_writer';
-import type {ProgressWriter} from './progress_writer';
 
 /** Largest text of one answer to a read, in characters. */
 const MAX_ANSWER_CHARACTERS = 400_000;
 
-/** A job with its writers. */
+/** A job with its writer. */
 export class ServedJob {
   /** When it was last asked for, on the monotonic clock. */
   usedAtMs = 0;
@@ -16,16 +15,11 @@
   private constructor(
     readonly state: JobState,
     readonly writer: JobWriter,
-    readonly progress: ProgressWriter,
   ) {}
 
   /** Builds a job that nobody waits for. */
-  static create(
-    state: JobState,
-    writer: JobWriter,
-    progress: ProgressWriter,
-  ): ServedJob {
-    return new ServedJob(state, writer, progress);
+  static create(state: JobState, writer: JobWriter): ServedJob {
+    return new ServedJob(state, writer);
   }
 
   /** Wakes the readers that wait. */
