Keep ended jobs in memory while there is room

Change: ended jobs stay up to a bound on the characters of their results, those not read for longest go first; an end that the store has is confirmed without a call.

--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -22,6 +22,7 @@
 import type {JobHeader, JobLedger, KeptJob} from './job_ledger';
 import type {ItemCall, ReadCall, ResultsAnswer} from './job_messages';
 import {JobWriter} from './job_writer';
+import {selectForgotten} from './job_memory';
 import {ProgressWriter} from './progress_writer';
 import {ServedJob} from './served_job';
 
@@ -34,9 +35,6 @@
 const ORDERS_WAIT_MS = 250;
 /** Time between looks for jobs that need not be kept, in ms. */
 const SWEEP_INTERVAL_MS = 2_000;
-/** Time for which an ended job stays in memory after it was last read, in ms;
- * later readers have it read from the store again. */
-const MEMORY_MS = 15_000;
 /** Age of ended jobs that a new home still learns from, in ms: trainers have
  * two jobs under way. */
 const LEARN_AGE_MS = 20_000;
@@ -251,11 +249,13 @@
       this.reportEnd(served.value);
       this.planNow();
     }
+    if (served.value.isEndKept) return ok({});
     const [ended] = await Promise.all([
       this.options.ledger.endJob(jobId),
       this.links.waitForOrders(ORDERS_WAIT_MS),
     ]);
     if (ended.isErr()) void this.repeatEnd(jobId);
+    else served.value.isEndKept = true;
     return ended.map(() => ({}));
   }
 
@@ -316,6 +316,7 @@
     });
     const served: ServedJob = ServedJob.create(state, writer);
     served.usedAtMs = this.readMs();
+    served.isEndKept = isEnded;
     this.jobs.set(job.id, served);
     this.kept.set(job.id, job.acceptedAtMs);
     if (records.length > 0) {
@@ -349,10 +350,10 @@
   /** Lets ended jobs go, from memory and later from the store. */
   private sweepJobs(): void {
     const nowMs = this.readMs();
-    for (const [id, {state, usedAtMs}] of this.jobs) {
-      const isIdle = nowMs - usedAtMs > MEMORY_MS;
-      if (state.isEnded && isIdle) this.jobs.delete(id);
-    }
+    const ended = [...this.jobs.values()]
+      .filter(({state}) => state.isEnded)
+      .map(job => job.describeEnded());
+    for (const id of selectForgotten(ended, nowMs)) this.jobs.delete(id);
     const endMs = this.options.clock.readWallMs() - this.options.findKeepMs();
     for (const [id, acceptedAtMs] of this.kept) {
       if (acceptedAtMs >= endMs) continue;
--- a/packages/jobs/src/served_job.ts
+++ b/packages/jobs/src/served_job.ts
@@ -1,6 +1,7 @@
 /** A batch job at its home, with what is written and who waits for it. */
 import type {JobResult, JobState} from '@sassafrasspan/core';
 import {Waiters} from '@sassafrasspan/runtime';
+import type {EndedJob} from './job_memory';
 import type {JobWriter} from './job_writer';
 
 /** Largest text of one answer to a read, in characters. */
@@ -10,6 +11,8 @@
 export class ServedJob {
   /** When it was last asked for, on the monotonic clock. */
   usedAtMs = 0;
+  /** Whether the store and the agents know that the job has ended. */
+  isEndKept = false;
   private readonly waiters = Waiters.create();
 
   private constructor(
@@ -22,6 +25,13 @@
     return new ServedJob(state, writer);
   }
 
+  /** Describes the job once it has ended. */
+  describeEnded(): EndedJob {
+    const {job, results} = this.state;
+    const characters = results.reduce((sum, {text}) => sum + text.length, 0);
+    return {id: job.id, usedAtMs: this.usedAtMs, characters};
+  }
+
   /** Wakes the readers that wait. */
   wakeReaders(): void {
     this.waiters.wakeAll();
