Tell when a checkpoint cannot be read; serve jobs once all are read

Cause: reading the diff: the failure was logged as an outage that never ends, and a home whose second job could not be read served the first one twice.

--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -253,6 +253,11 @@
     level: 'warn',
     meaning: 'A call about a batch job ended with an error.',
   },
+  'checkpoint-unread': {
+    number: 518,
+    level: 'warn',
+    meaning: 'A new home could not read its checkpoint; some texts begin anew.',
+  },
   'job-removed': {
     number: 516,
     level: 'info',
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -122,11 +122,13 @@
     const jobs = await Promise.all(
       open.map(header => this.options.ledger.readJob(header.id)),
     );
-    for (const job of jobs) {
-      if (job.isErr()) return err(job.error);
-      if (job.value === undefined) continue;
-      const {state} = this.serveJob(job.value);
-      restoreProgress(state, this.readCheckpoint(checkpoint));
+    const read = Result.combine(jobs);
+    if (read.isErr()) return err(read.error);
+    const progress = this.acceptCheckpoint(checkpoint);
+    for (const job of read.value) {
+      if (job === undefined) continue;
+      const {state} = this.serveJob(job);
+      restoreProgress(state, progress);
     }
     this.scheduler.startTakeover(this.readMs());
     this.timers = [
@@ -139,12 +141,12 @@
 
   /** Without its checkpoint a home begins some texts anew; waiting for it would
    * hold all of them up. */
-  private readCheckpoint(
+  private acceptCheckpoint(
     checkpoint: Result<JobProgress[], ServiceError>,
   ): JobProgress[] {
     if (checkpoint.isOk()) return checkpoint.value;
     const {detail} = checkpoint.error;
-    this.options.log.writeEvent('platform-down', {kind: 'checkpoint', detail});
+    this.options.log.writeEvent('checkpoint-unread', {detail});
     return [];
   }
 
