Keep items from endpoints at which they came to nothing

An item that stalled went back to the same endpoint for ever. Ruled out: a lost result, a full pool. Change: breaks count by endpoint, five or eight in a row; an item avoids an endpoint for some seconds after a break, a failure or a stall there.

--- a/packages/core/src/batch/carry_over.ts
+++ b/packages/core/src/batch/carry_over.ts
@@ -21,15 +21,15 @@
   readonly length: KnownLength | undefined;
   /** Oldest version that its job took. */
   readonly minVersion: number;
-  /** Endpoints in a row that made nothing of it. */
-  readonly barrenBreaks: number;
+  /** Endpoints that broke it off without an event. */
+  readonly brokenAt: ReadonlySet<string>;
 }
 
 /** What is known of an item beside what is left of it. */
 interface KnownItem {
   readonly length?: KnownLength;
   readonly minVersion: number;
-  readonly barrenBreaks?: number;
+  readonly brokenAt?: ReadonlySet<string>;
 }
 
 /** A run of an ended job. */
@@ -79,7 +79,7 @@
     this.put(id, result ?? events, {
       length: state.knownLength,
       minVersion,
-      barrenBreaks: state.barrenBreaks,
+      brokenAt: state.brokenAt,
     });
   }
 
@@ -127,7 +127,7 @@
       this.items.delete(id);
       if (left !== undefined) {
         item.knownLength = left.length;
-        item.barrenBreaks = left.barrenBreaks;
+        item.brokenAt = new Set(left.brokenAt);
         if (left.result !== undefined) state.adoptResult(left.result);
         else state.adoptText(id, left.events);
       }
@@ -194,9 +194,9 @@
 
 function createLeftItem(
   left: JobResult | readonly TextEvent[],
-  {length, minVersion, barrenBreaks = 0}: KnownItem,
+  {length, minVersion, brokenAt = new Set()}: KnownItem,
 ): LeftItem {
-  const nothing = {result: undefined, events: [], minVersion, barrenBreaks};
+  const nothing = {result: undefined, events: [], minVersion, brokenAt};
   if (!('state' in left)) {
     const isMore = left.length > (length?.events ?? 0) && !length?.isWhole;
     const seen = isMore ? {events: left.length, isWhole: false} : length;
--- a/packages/core/src/batch/home_planner.ts
+++ b/packages/core/src/batch/home_planner.ts
@@ -4,7 +4,7 @@
  * and moves before starts of spare items, so that a free place goes to what
  * gains most by it.
  */
-import type {ItemState, JobState} from './job_state';
+import {AVOID_MS, ItemState, JobState} from './job_state';
 import type {JobBook} from './job_book';
 import {predictRemainingTokens} from './length_forecast';
 import {planModelLoads} from './model_loads';
@@ -87,6 +87,7 @@
     this.stopStalled(nowMs);
     pool.expireReservations(nowMs);
     const orders = OrderSheet.create();
+    for (const state of book.list()) state.expireAvoided(nowMs);
     const jobs = book.list().map(state => this.describeJob(state));
     if (mayStart) this.startItems(jobs, ['carried', 'wanted'], orders, nowMs);
     this.moveRuns(jobs, orders, nowMs);
@@ -118,8 +119,12 @@
       for (const run of runner.runs.values()) {
         const sinceMs = run.progressAtMs ?? run.startedAtMs;
         if (nowMs - sinceMs < STALL_MS) continue;
-        pool.stopRun(run.runId, runner.registration.endpointId);
-        book.finishRun(run.runId, run.jobId, run.itemId, 'stopped', nowMs);
+        const {endpointId} = runner.registration;
+        const {runId, jobId, itemId} = run;
+        const item = book.find(jobId)?.items.get(itemId);
+        item?.avoided.set(endpointId, nowMs + AVOID_MS);
+        pool.stopRun(runId, endpointId);
+        book.finishRun(runId, jobId, itemId, 'stopped', nowMs);
       }
     }
   }
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -22,9 +22,21 @@
 /** Events by which a run that an agent tells of must be ahead of the present
  * one to replace it: about a fifth of a second of generation. */
 const MIN_LEAD_EVENTS = 5;
-/** Endpoints that may break off while they run an item, none having made an
- * event of it, before it counts as one that crashes endpoints. */
-const MAX_BARREN_BREAKS = 3;
+/** Endpoints that may break off an item, none having made an event of it,
+ * before it counts as one that crashes endpoints. */
+const MAX_BROKEN_ENDPOINTS = 5;
+/** The same for breaks in a row, where there are few endpoints. */
+const MAX_BREAKS = 8;
+/** Breaks in a row after which it waits for longer, since it may have crashed
+ * an endpoint each time. */
+const CAREFUL_BREAKS = 3;
+/** That wait, in ms: endpoints are back some seconds after a crash. */
+const CAREFUL_DELAY_MS = 1_500;
+/** Time for which an item avoids an endpoint that broke it off, in ms: longer
+ * than its tries at others take. */
+const AVOID_BROKEN_MS = 4_000;
+/** The same where it failed or stalled, in ms. */
+export const AVOID_MS = 3_000;
 
 /** Where an item runs. */
 export interface ItemRun {
@@ -57,8 +69,11 @@
   retryAtMs: number;
   /** Answers by which an endpoint failed it. */
   failures: number;
-  /** Breaks in a row without one event. */
-  barrenBreaks: number;
+  /** Breaks since it last made an event, and the endpoints of them. */
+  breaks: number;
+  brokenAt: Set<string>;
+  /** Endpoints to which it does not go now, and up to when. */
+  readonly avoided: Map<string, number>;
   /** When the last event arrived. */
   progressAtMs: number;
 }
@@ -193,7 +208,8 @@
     if (fresh.length === 0) return true;
     state.events.push(...fresh);
     state.progressAtMs = nowMs;
-    state.barrenBreaks = 0;
+    state.breaks = 0;
+    state.brokenAt.clear();
     return true;
   }
 
@@ -208,6 +224,7 @@
     const state = this.items.get(itemId);
     if (state?.phase !== 'running' || state.run?.runId !== runId) return;
     const hasProgress = state.events.length > state.run.firstEvent;
+    const {endpointId} = state.run;
     state.run = undefined;
     state.phase = 'waiting';
     state.retryAtMs = nowMs + (RETRY_DELAY_MS[end] ?? 0);
@@ -217,11 +234,25 @@
       finishItem(state, createDeadResult(itemId));
     } else if (end === 'failed') {
       state.failures += 1;
+      state.avoided.set(endpointId, nowMs + AVOID_MS);
       if (state.failures >= maxFailures) {
         finishItem(state, createDeadResult(itemId));
       }
     } else if (end === 'broken' && !hasProgress) {
-      state.barrenBreaks += 1;
+      state.brokenAt.add(endpointId);
+      state.avoided.set(endpointId, nowMs + AVOID_BROKEN_MS);
+      state.breaks += 1;
+      const isCareful = state.breaks >= CAREFUL_BREAKS;
+      if (isCareful) state.retryAtMs = nowMs + CAREFUL_DELAY_MS;
+    }
+  }
+
+  /** Lets items go again to endpoints that they have avoided for long. */
+  expireAvoided(nowMs: number): void {
+    for (const {avoided} of this.items.values()) {
+      for (const [endpointId, untilMs] of avoided) {
+        if (untilMs <= nowMs) avoided.delete(endpointId);
+      }
     }
   }
 
@@ -284,7 +315,8 @@
 
 /** Tells whether an item breaks every endpoint that begins to run it. */
 export function isSuspect(state: ItemState): boolean {
-  return state.barrenBreaks >= MAX_BARREN_BREAKS;
+  const {breaks, brokenAt} = state;
+  return brokenAt.size >= MAX_BROKEN_ENDPOINTS || breaks >= MAX_BREAKS;
 }
 
 function createItemState(item: JobItem): ItemState {
@@ -297,7 +329,9 @@
     result: undefined,
     retryAtMs: 0,
     failures: 0,
-    barrenBreaks: 0,
+    breaks: 0,
+    brokenAt: new Set(),
+    avoided: new Map(),
     progressAtMs: 0,
   };
 }
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -250,13 +250,16 @@
   return best;
 }
 
-/** Tells whether an endpoint may go on with an item by service and version. */
+/** Tells whether an endpoint may go on with an item, by service and version and
+ * by what became of the item there. */
 export function canRunItem(
   job: JobView,
   item: ItemState,
   runner: RunnerView,
 ): boolean {
-  if (!job.endpointIds.has(runner.id)) return false;
+  const isAvoided =
+    item.avoided.has(runner.id) && item.avoided.size < job.endpointIds.size;
+  if (!job.endpointIds.has(runner.id) || isAvoided) return false;
   const {model, minVersion} = job.state.job;
   const version = runner.versions.get(model) ?? 0;
   const newestText = item.events.at(-1)?.version ?? 0;
--- a/packages/core/src/testing/batch_world.ts
+++ b/packages/core/src/testing/batch_world.ts
@@ -58,6 +58,8 @@
   /** Events of each item. */
   readonly countEvents: (itemId: string) => number;
   readonly policy?: SchedulingPolicy;
+  /** How an engine ends a run at its start; undefined where it makes events. */
+  readonly endStart?: (engineId: string, itemId: string) => RunEnd | undefined;
 }
 
 /** Batch jobs, engines and a home. */
@@ -285,8 +287,11 @@
     if (!engine.book.add(order, this.nowMs)) return;
     this.starts.push(order);
     const isRejected = engine.isDown || engine.runs.size >= engine.slots;
-    if (isRejected) {
-      engine.book.end(order.runId, 'not-run', this.nowMs);
+    const end = isRejected
+      ? 'not-run'
+      : this.options.endStart?.(engine.id, order.itemId);
+    if (end !== undefined) {
+      engine.book.end(order.runId, end, this.nowMs);
       return;
     }
     engine.runs.set(order.runId, {order, madeMs: 0});
