Load versions after the step that comes with them has started

Ruled out: full endpoints (they were idle after an outage), a late job. Change: endpoints that steps can still use load 0.4 s after the version is named, half of a model's at once.

--- a/packages/core/src/batch/home_scheduler.ts
+++ b/packages/core/src/batch/home_scheduler.ts
@@ -101,8 +101,8 @@
   }
 
   /** Notes the newest version that a trainer has named. */
-  setNewest(model: string, version: number): void {
-    this.book.setNewest(model, version);
+  setNewest(model: string, version: number, nowMs: number): void {
+    this.book.setNewest(model, version, nowMs);
   }
 
   /** Ends a job: nothing of it starts from now on. */
--- a/packages/core/src/batch/job_book.ts
+++ b/packages/core/src/batch/job_book.ts
@@ -30,10 +30,17 @@
   readonly useless: readonly LingeringRun[];
 }
 
+/** A version of a model that its trainer has named. */
+export interface NamedVersion {
+  readonly version: number;
+  /** When it was first heard of, on the monotonic clock. */
+  readonly atMs: number;
+}
+
 /** Open jobs by id. */
 export class JobBook {
   private readonly jobs = new Map<string, JobState>();
-  private readonly newest = new Map<string, number>();
+  private readonly newest = new Map<string, NamedVersion>();
   private readonly work = new Map<string, number>();
   /** Versions from a job to the one that has its left items, by model. */
   private readonly versionLeads = new Map<string, number>();
@@ -52,7 +59,7 @@
   }
 
   /** Returns the newest version of each model. */
-  getNewest(): ReadonlyMap<string, number> {
+  getNewest(): ReadonlyMap<string, NamedVersion> {
     return this.newest;
   }
 
@@ -67,9 +74,9 @@
   }
 
   /** Notes the newest version that a trainer has named. */
-  setNewest(model: string, version: number): void {
-    const known = this.newest.get(model) ?? 0;
-    if (version > known) this.newest.set(model, version);
+  setNewest(model: string, version: number, atMs: number): void {
+    const known = this.newest.get(model)?.version ?? 0;
+    if (version > known) this.newest.set(model, {version, atMs});
   }
 
   /** Opens a job with the records that its log has. */
@@ -87,7 +94,7 @@
     for (const results of records) state.applyResults(results);
     this.jobs.set(job.id, state);
     this.work.set(job.model, job.items.length);
-    this.setNewest(job.model, job.minVersion);
+    this.setNewest(job.model, job.minVersion, acceptedAtMs);
     return {state, ...this.carryOver.adoptInto(state)};
   }
 
--- a/packages/core/src/batch/load_plan.ts
+++ b/packages/core/src/batch/load_plan.ts
@@ -5,12 +5,19 @@
  * Answers this load: a version a few seconds, each taken up within a step, and
  * a store of weights that slows all loads when too many run at once. With
  * several models, each endpoint is kept current for some of them only, in
- * proportion to their work.
+ * proportion to their work. A step arrives with its version: its items start
+ * first, and endpoints of its model stay open while others load.
  */
 import {rankByRendezvous} from '../shared/hash';
 
 /** Share of a pool that loads at once. */
 const LOADING_SHARE = 0.25;
+/** Share of a model's endpoints that loads at once, where the others can go on
+ * with its steps. */
+const MODEL_LOADING_SHARE = 0.5;
+/** Time after a version is named before endpoints that steps can still use load
+ * it, in ms: the step that comes with it arrives and starts within that. */
+const STEP_ARRIVAL_MS = 400;
 
 /** An endpoint as the plan sees it. */
 export interface LoadingView {
@@ -31,6 +38,8 @@
   readonly newest: number;
   /** Oldest version that an open job takes; 0 without one. */
   readonly minVersion: number;
+  /** Time since the newest version was named, in ms. */
+  readonly sinceNamedMs: number;
 }
 
 /** One order. */
@@ -68,6 +77,9 @@
   for (const {demand, endpoint} of options) {
     if (free <= 0) break;
     if (taken.has(endpoint.id)) continue;
+    if (!isTooOld(endpoint, demand) && !canClose(demand, endpoints, taken)) {
+      continue;
+    }
     taken.add(endpoint.id);
     free -= 1;
     const {model, newest} = demand;
@@ -76,6 +88,19 @@
   return loads;
 }
 
+/** Tells whether one more endpoint that steps of a model can use may load. */
+function canClose(
+  demand: ModelDemand,
+  endpoints: readonly LoadingView[],
+  taken: ReadonlySet<string>,
+): boolean {
+  if (demand.sinceNamedMs < STEP_ARRIVAL_MS) return false;
+  const own = endpoints.filter(endpoint => endpoint.models.has(demand.model));
+  const closed = own.filter(({id, isBusy}) => isBusy || taken.has(id));
+  const limit = Math.max(1, Math.floor(own.length * MODEL_LOADING_SHARE));
+  return closed.length < limit;
+}
+
 function compareNumbers(a: boolean, b: boolean): number {
   return Number(a) - Number(b);
 }
--- a/packages/core/src/batch/model_loads.ts
+++ b/packages/core/src/batch/model_loads.ts
@@ -1,4 +1,5 @@
 /** Applies the plan of loads to the endpoints of a home. */
+import type {NamedVersion} from './job_book';
 import type {JobState} from './job_state';
 import {ModelDemand, PlannedLoad, assignModels, planLoads} from './load_plan';
 import type {RunnerState} from './runner_state';
@@ -6,7 +7,7 @@
 /** What the plan looks at. */
 export interface ModelLoadView {
   /** Newest version of each model. */
-  readonly newest: ReadonlyMap<string, number>;
+  readonly newest: ReadonlyMap<string, NamedVersion>;
   /** Items of the last job of each model. */
   readonly work: ReadonlyMap<string, number>;
   readonly jobs: readonly JobState[];
@@ -50,9 +51,10 @@
 
 function describeDemands(view: ModelLoadView): ModelDemand[] {
   return [...view.newest]
-    .map(([model, newest]) => ({
+    .map(([model, {version, atMs}]) => ({
       model,
-      newest,
+      newest: version,
+      sinceNamedMs: view.nowMs - atMs,
       minVersion: Math.max(
         0,
         ...view.jobs
--- a/packages/jobs/src/home_node.ts
+++ b/packages/jobs/src/home_node.ts
@@ -186,7 +186,7 @@
 
   /** Notes the newest version that a trainer has named. */
   setNewest(model: string, version: number): void {
-    this.scheduler.setNewest(model, version);
+    this.scheduler.setNewest(model, version, this.readMs());
     this.requestPlan();
   }
 
