--- /dev/null
+++ b/packages/calls/src/entry_role.test.ts
@@ -0,0 +1,37 @@
+/** What an entry says of requests before it has routes. */
+import {RouteBurn} from '@sassafrasspan/core';
+import type {ClusterWatch, PeerClient} from '@sassafrasspan/peers';
+import {EventLog, Metrics, SYSTEM_CLOCK} from '@sassafrasspan/runtime';
+import type {EndpointCaller} from './call_types';
+import {EntryRole} from './entry_role';
+
+test('a request before the first routes is refused with a line in the log', () => {
+  const lines: object[] = [];
+  const log = {
+    writeEvent: (name: string, fields: object) => lines.push({name, ...fields}),
+  } as unknown as EventLog;
+  const role = EntryRole.create({
+    name: 'entry-1',
+    failureDomain: 'a',
+    cluster: {} as ClusterWatch,
+    peers: {} as PeerClient,
+    caller: {} as EndpointCaller,
+    clock: SYSTEM_CLOCK,
+    random: Math.random,
+    log,
+    metrics: Metrics.create(),
+    burn: RouteBurn.create(),
+    onRoutes: () => undefined,
+  });
+  expect(role.findTable('r1').isErr()).toBe(true);
+  expect(lines).toMatchInlineSnapshot(`
+    [
+      {
+        "detail": "no routes yet",
+        "kind": "not-ready",
+        "name": "request-refused",
+        "requestId": "r1",
+      },
+    ]
+  `);
+});
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -136,6 +136,17 @@
       : ok(table);
   }
 
+  /** Returns the routes in force for a request, which is refused without. */
+  findTable(requestId: string): Result<RouteTable, ServiceError> {
+    const table = this.getTable();
+    if (table.isErr()) {
+      const {kind, detail} = table.error;
+      const fields = {requestId, kind, detail};
+      this.options.log.writeEvent('request-refused', fields);
+    }
+    return table;
+  }
+
   /** Finds the route of a request; a missing one is stated only by routes that
    * are known to be fresh. */
   matchRoute(request: RoutableRequest): Result<MatchedRoute, ServiceError> {
