--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -257,6 +257,7 @@
   item: ItemState,
   runner: RunnerView,
 ): boolean {
+  // An item that would have to avoid every endpoint avoids none.
   const isAvoided =
     item.avoided.has(runner.id) && item.avoided.size < job.endpointIds.size;
   if (!job.endpointIds.has(runner.id) || isAvoided) return false;
