--- a/packages/calls/src/call_forwarder.test.ts
+++ b/packages/calls/src/call_forwarder.test.ts
@@ -8,6 +8,7 @@
   RouteBurnTracker,
   RouteKind,
 } from '@sassafrasspan/core';
+import {RateGate} from '@sassafrasspan/limits';
 import {Metrics, SILENT_LOG, SYSTEM_CLOCK} from '@sassafrasspan/runtime';
 import {CallForwarder} from './call_forwarder';
 import type {AttemptOutcome} from './call_types';
@@ -95,6 +96,11 @@
     endpoints: directory,
     pool: EndpointSelector.create('a', drawHalf),
     quarantine,
+    rateGate: RateGate.create({
+      clock: SYSTEM_CLOCK,
+      log: SILENT_LOG,
+      metrics: Metrics.create(),
+    }),
     caller: {
       callEndpoint: (endpoint, _call, _leftMs, signal) => {
         sent.add(endpoint.id);
--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -20,6 +20,7 @@
   hashText,
   pickTarget,
 } from '@sassafrasspan/core';
+import type {RateGate} from '@sassafrasspan/limits';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import type {
@@ -33,6 +34,8 @@
   readonly endpoints: EndpointDirectory;
   readonly pool: EndpointSelector;
   readonly caller: EndpointCaller;
+  /** Limits that endpoints state. */
+  readonly rateGate: RateGate;
   /** Requests that may crash the endpoints that run them. */
   readonly quarantine: Quarantine;
   readonly clock: Clock;
@@ -217,6 +220,7 @@
     this.attempts.delete(controller);
     const nowMs = clock.readMonotonicMs();
     this.recordReply(endpoint, reply, nowMs - startedAtMs, nowMs);
+    this.recordLimit(endpoint, reply, startedAtMs);
     if (reply.type === 'answered') call.onAnswered?.(reply.answer.status);
     if (!this.isOver) this.recordSuspicion(endpoint, reply);
     if (!this.isOver) this.handleReply(endpoint, reply);
@@ -242,6 +246,25 @@
     }
   }
 
+  /** Records the limit that a reply states; only the expected endpoint's own
+   * reply says anything about its limit. */
+  private recordLimit(
+    endpoint: EndpointEntry,
+    reply: AttemptOutcome,
+    sentAtMs: number,
+  ): void {
+    const isReply =
+      reply.type === 'answered' ||
+      (reply.type === 'not-run' && reply.reason === 'full');
+    if (!isReply) return;
+    const {limit} = reply;
+    this.options.rateGate.recordAnswer({
+      endpointId: endpoint.id,
+      limit,
+      sentAtMs,
+    });
+  }
+
   /** Suspects the request if the connection broke before the first byte: it may
    * have crashed the endpoint. */
   private recordSuspicion(
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -40,6 +40,9 @@
       readonly type: 'answered';
       readonly answer: EndpointAnswer;
       readonly load: ReportedLoad | undefined;
+      /** Requests per second that the endpoint takes from all nodes together;
+       * undefined if it states no limit. */
+      readonly limit?: number;
     }
   /** The call did not run and will not. `other-instance`: another server than
    * the expected endpoint received it. */
@@ -47,6 +50,8 @@
       readonly type: 'not-run';
       readonly reason: 'full' | 'unreachable' | 'other-instance' | 'cancelled';
       readonly load: ReportedLoad | undefined;
+      /** As in an answer; undefined also if the endpoint has not replied. */
+      readonly limit?: number;
     }
   /** The call may have run. */
   | {
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -13,6 +13,7 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
+import {RateGate} from '@sassafrasspan/limits';
 import type {ClusterWatch, PeerClient, PeerRoutes} from '@sassafrasspan/peers';
 import {FleetSource, FleetState} from '@sassafrasspan/platform';
 import {
@@ -93,6 +94,7 @@
       endpoints: this.fleet.endpoints,
       pool: EndpointSelector.create(failureDomain, random),
       caller,
+      rateGate: RateGate.create({clock, log, metrics}),
       quarantine,
       clock,
       random,
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -84,6 +84,17 @@
     meaning:
       'A request that crashes endpoints was quarantined and is rejected from now on.',
   },
+  'endpoint-limited': {
+    number: 207,
+    level: 'warn',
+    meaning:
+      'An endpoint states a limit, or another one than before: `perSecond` requests of all nodes together.',
+  },
+  'endpoint-unlimited': {
+    number: 208,
+    level: 'info',
+    meaning: 'An endpoint states no limit any more.',
+  },
   'run-started': {
     number: 210,
     level: 'info',
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -17,6 +17,7 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
+import {RateGate} from '@sassafrasspan/limits';
 import {
   ClusterWatch,
   PeerClient,
@@ -202,6 +203,7 @@
       forwarder: CallForwarder.create({
         ...this.options,
         endpoints,
+        rateGate: RateGate.create(this.options),
         pool: EndpointSelector.create(failureDomain, random),
         quarantine: Quarantine.create(MAX_CRASHES),
       }),
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -18,6 +18,7 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
+import type {RateGate} from '@sassafrasspan/limits';
 import {EventLog, Metrics, Waiters, waitMs} from '@sassafrasspan/runtime';
 import {PeerContext, PeerRoutes, createHandler} from '@sassafrasspan/peers';
 import {Result, err, ok} from 'neverthrow';
@@ -54,6 +55,8 @@
   readonly runner: ItemRunner;
   readonly control: EngineControl;
   readonly loader: WeightLoader;
+  /** Limits that the engine states. */
+  readonly rateGate: RateGate;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
@@ -301,6 +304,12 @@
     });
     const startedAtMs = this.readMs();
     const cancel = runner.startRun(order, {
+      onReply: limit =>
+        this.options.rateGate.recordAnswer({
+          endpointId,
+          limit,
+          sentAtMs: startedAtMs,
+        }),
       onEvent: event => {
         const isFirstUnsent = this.runs.addEvent(runId, event, this.readMs());
         if (isFirstUnsent) this.syncWaiters.wakeAll();
--- a/packages/runs/src/engine_ports.ts
+++ b/packages/runs/src/engine_ports.ts
@@ -10,6 +10,9 @@
 
 /** Receives the events and the end of a run. */
 export interface RunListener {
+  /** Called once if the engine replies, with the requests per second that it
+   * takes from all nodes together; undefined if it states no limit. */
+  onReply(limit: number | undefined): void;
   onEvent(event: TextEvent): void;
   /** Called once, after the last event. */
   onEnd(end: RunEnd, detail: string): void;
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -1,5 +1,6 @@
 /** Help texts of the metrics in the Prometheus output, by name. */
 export const METRIC_HELP: Readonly<Record<string, string>> = {
+  limited_answers_total: 'Answers of endpoints that state a rate limit.',
   platform_parts_down: 'Parts of the platform that do not answer this node.',
   ready: 'Whether the node takes work: 1 or 0.',
   request_ms: 'Time from dispatch to the whole answer, by service, in ms.',
