Keep the limits that endpoints state, by all nodes together

Endpoints that stated 1 request a second got up to 23 in 4 s (11 are allowed).

Cause: the limit was in the answers and no decision read it; each node sent by what it measured itself. Logs of the worst 4 s at three endpoints: 16, 21 and 23 sends, none of them a second attempt (retries and hedges are ruled out), by three or four entries, 14 of 23 by one of them, so a limit kept by each node alone would not hold either.

Change: one keeper for each endpoint grants single sends of all nodes, by rendezvous among the entries, or the agent beside an engine. Nodes that cannot reach it ask the next rank, which grants a quarter, then an eighth: together at most 1.375 times the limit and 4. First attempts, retries, scoring calls and items pass it; hedges and resends go only to endpoints without a limit. Nodes tell each other of limits that begin or end, and ask when they start. What no limit admits is refused at once as not run, with successive times to return.

--- a/packages/calls/src/call_forwarder.test.ts
+++ b/packages/calls/src/call_forwarder.test.ts
@@ -4,11 +4,13 @@
   EndpointEntry,
   EndpointSelector,
   Quarantine,
+  RateKeeper,
   Route,
   RouteBurnTracker,
   RouteKind,
 } from '@sassafrasspan/core';
 import {RateGate} from '@sassafrasspan/limits';
+import {PeerClient} from '@sassafrasspan/peers';
 import {Metrics, SILENT_LOG, SYSTEM_CLOCK} from '@sassafrasspan/runtime';
 import {CallForwarder} from './call_forwarder';
 import type {AttemptOutcome} from './call_types';
@@ -64,6 +66,27 @@
   };
 }
 
+/** Creates the gate of a node that alone keeps all limits, which have just begun. */
+function createRateGate(limits: Readonly<Record<string, number>>): RateGate {
+  const self = {name: 'self', address: '', failureDomain: ''};
+  const gate = RateGate.create({
+    directory: {
+      listKeepers: () => [{...self, role: 'entry'}],
+      isOwn: () => true,
+    },
+    keeper: RateKeeper.create(),
+    peers: PeerClient.create(),
+    clock: SYSTEM_CLOCK,
+    log: SILENT_LOG,
+    metrics: Metrics.create(),
+    onChanged: () => undefined,
+  });
+  for (const [endpointId, limit] of Object.entries(limits)) {
+    gate.recordAnswer({endpointId, limit, sentAtMs: 0});
+  }
+  return gate;
+}
+
 interface Outcome {
   readonly result: string;
   /** Number of endpoints to which the call was sent. */
@@ -81,10 +104,12 @@
     quarantine?: Quarantine;
     /** Index of the first endpoint, used in the endpoints' ids. */
     firstIndex?: number;
+    /** Limits that endpoints have stated, by id. */
+    limits?: Readonly<Record<string, number>>;
   } = {},
 ): Promise<Outcome> {
   const {endpoints = 3, maxAttempts = 2, firstIndex = 0} = options;
-  const {quarantine = Quarantine.create(3)} = options;
+  const {quarantine = Quarantine.create(3), limits = {}} = options;
   const directory = EndpointDirectory.create();
   for (let i = 0; i < endpoints; i++) {
     directory.put(createEndpoint(`e${firstIndex + i}`));
@@ -96,11 +121,7 @@
     endpoints: directory,
     pool: EndpointSelector.create('a', drawHalf),
     quarantine,
-    rateGate: RateGate.create({
-      clock: SYSTEM_CLOCK,
-      log: SILENT_LOG,
-      metrics: Metrics.create(),
-    }),
+    rateGate: createRateGate(limits),
     caller: {
       callEndpoint: (endpoint, _call, _leftMs, signal) => {
         sent.add(endpoint.id);
@@ -208,3 +229,29 @@
   await forward('idempotent', ['lost', 'ok'], {quarantine});
   expect(quarantine.listSuspicions()).toEqual([]);
 });
+
+test('a call goes to an endpoint whose limit does not admit it', async () => {
+  const limits = {e0: 1, e1: 1};
+  expect(await forward('idempotent', ['ok'], {limits})).toMatchObject({
+    result: '200',
+    sent: 1,
+  });
+  const refused = await forward('idempotent', ['ok'], {limits, endpoints: 2});
+  expect(refused).toMatchObject({result: 'rate-limited', sent: 0});
+});
+
+test('a hedge or a retry exceeds the limit of an endpoint', async () => {
+  const limits = {e1: 1, e2: 1};
+  const hedged = await forward('idempotent', ['silent', 'ok'], {limits});
+  expect(hedged).toMatchObject({result: 'deadline-exceeded', sent: 1});
+  const retried = await forward('idempotent', ['failed', 'ok'], {limits});
+  expect(retried).toMatchObject({result: '500', sent: 1});
+});
+
+test('callers that a limit denies are told successive times to return at', () => {
+  const gate = createRateGate({e0: 2});
+  void gate.admitSend({id: 'e0', address: 'e0:1'});
+  const times = [1, 2, 3].map(() => gate.reserveReturn(['e0']) ?? 0);
+  const gaps = times.slice(1).map((atMs, index) => atMs - times[index]);
+  expect(gaps.map(gapMs => Math.round(gapMs / 100))).toEqual([5, 5]);
+});
--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -23,6 +23,7 @@
 import type {RateGate} from '@sassafrasspan/limits';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
+import {CallPlacement} from './call_placement';
 import type {
   EndpointAnswer,
   EndpointCaller,
@@ -116,13 +117,15 @@
 
 /** One call in progress. */
 class PendingCall {
-  /** Ids of the endpoints tried so far. */
-  private readonly triedEndpoints = new Set<string>();
   /** Attempts in progress. */
   private readonly attempts = new Set<AbortController>();
   /** Attempts that may have run the call. */
   private runs = 0;
   private rejections = 0;
+  /** Attempts whose endpoint is being chosen. */
+  private placements = 0;
+  /** Latest answer after which the call was retried. */
+  private lastAnswer: EndpointAnswer | undefined;
   private isOver = false;
   private timers: NodeJS.Timeout[] = [];
   private resolve: (result: CallResult) => void = () => undefined;
@@ -132,6 +135,7 @@
     private readonly matched: MatchedCall,
     private readonly service: string,
     private readonly fingerprint: string,
+    private readonly placement: CallPlacement,
     /** The earlier of the caller's deadline and the route's timeout. */
     private readonly endsAtMs: number,
   ) {}
@@ -145,7 +149,14 @@
     const nowMs = options.clock.readMonotonicMs();
     const {call, route} = matched;
     const endsAtMs = Math.min(call.deadlineAtMs, nowMs + route.timeoutMs);
-    return new PendingCall(options, matched, service, fingerprint, endsAtMs);
+    return new PendingCall(
+      options,
+      matched,
+      service,
+      fingerprint,
+      CallPlacement.create(options, service),
+      endsAtMs,
+    );
   }
 
   run(): Promise<CallResult> {
@@ -153,7 +164,7 @@
       this.resolve = resolve;
       this.matched.call.signal.addEventListener('abort', this.cancel);
       this.addTimer(this.computeRemainingMs(), () => this.expire());
-      this.startAttempt();
+      void this.startAttempt();
       this.scheduleHedge();
     });
   }
@@ -169,37 +180,33 @@
     return this.endsAtMs - this.options.clock.readMonotonicMs();
   }
 
-  private listUntried(): EndpointEntry[] {
-    return this.options.endpoints
-      .listUsable(this.service)
-      .filter(endpoint => !this.triedEndpoints.has(endpoint.id));
-  }
-
-  private startAttempt(): void {
-    const {endpoints, pool, clock} = this.options;
-    const usable = endpoints.listUsable(this.service);
-    const nowMs = clock.readMonotonicMs();
-    const endpoint = pool.choose(usable, this.triedEndpoints, nowMs);
-    if (endpoint === undefined) {
-      if (this.attempts.size === 0) this.end(err(this.explainNoEndpoint()));
-      return;
-    }
-    this.triedEndpoints.add(endpoint.id);
-    void this.runAttempt(endpoint, nowMs);
+  private async startAttempt(isHedge = false): Promise<void> {
+    this.placements += 1;
+    const endpoint = await this.placement.chooseAdmitting(isHedge);
+    this.placements -= 1;
+    if (this.isOver) return;
+    const nowMs = this.options.clock.readMonotonicMs();
+    if (endpoint !== undefined) return this.runAttempt(endpoint, nowMs);
+    if (this.attempts.size > 0 || this.placements > 0) return;
+    if (this.lastAnswer !== undefined) this.end(ok(this.lastAnswer));
+    else this.end(err(this.explainNoEndpoint()));
   }
 
   private explainNoEndpoint(): ServiceError {
     if (this.runs > 0) {
       return createError('endpoint-failed', `no untried endpoint is left`);
     }
-    return createError('no-endpoint', `no endpoint of ${this.service}`);
+    return (
+      this.placement.explainDenial() ??
+      createError('no-endpoint', `no endpoint of ${this.service}`)
+    );
   }
 
   private async runAttempt(
     endpoint: EndpointEntry,
     startedAtMs: number,
   ): Promise<void> {
-    const {caller, pool, clock, log} = this.options;
+    const {caller, pool, clock, log, rateGate} = this.options;
     const {call} = this.matched;
     const controller = new AbortController();
     this.attempts.add(controller);
@@ -208,7 +215,7 @@
     log.writeEvent('request-dispatched', {
       requestId: call.id,
       endpoint: endpoint.id,
-      attempt: this.triedEndpoints.size,
+      attempt: this.placement.countAttempts(),
       leftMs: this.computeRemainingMs(),
     });
     const reply = await caller.callEndpoint(
@@ -216,6 +223,7 @@
       call,
       this.computeRemainingMs(),
       controller.signal,
+      !rateGate.isLimited(endpoint.id),
     );
     this.attempts.delete(controller);
     const nowMs = clock.readMonotonicMs();
@@ -298,13 +306,14 @@
       return this.end(err({...error, detail}));
     }
     this.options.metrics.addCount('retries_total', {kind: end.type});
+    if (reply.type === 'answered') this.lastAnswer = reply.answer;
     this.options.log.writeEvent('request-retried', {
       requestId: this.matched.call.id,
       endpoint: endpoint.id,
       reason: describeReason(reply),
       leftMs: this.computeRemainingMs(),
     });
-    this.startAttempt();
+    void this.startAttempt();
   }
 
   private describeProgress(): CallProgress {
@@ -313,9 +322,9 @@
       maxAttempts: this.matched.route.maxAttempts,
       runs: this.runs,
       rejections: this.rejections,
-      active: this.attempts.size,
+      active: this.attempts.size + this.placements,
       remainingMs: this.computeRemainingMs(),
-      hasOtherEndpoint: this.listUntried().length > 0,
+      hasOtherEndpoint: this.placement.hasUntried(),
     };
   }
 
@@ -332,7 +341,7 @@
     if (delayMs === undefined) return;
     this.addTimer(delayMs, () => {
       if (this.runs >= route.maxAttempts || this.runs === 0) return;
-      if (this.listUntried().length > 0) this.startAttempt();
+      if (this.placement.hasUnlimited()) void this.startAttempt(true);
     });
   }
 
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -65,13 +65,15 @@
 export interface EndpointCaller {
   /**
    * Sends a call to one endpoint and no other; `remainingMs` is the time
-   * until the deadline, which is stated to the endpoint.
+   * until the deadline, which is stated to the endpoint. `mayResend` is whether a
+   * call that a closing connection did not take is sent once more.
    */
   callEndpoint(
     endpoint: EndpointEntry,
     call: RoutedCall,
     remainingMs: number,
     signal: AbortSignal,
+    mayResend: boolean,
   ): Promise<AttemptOutcome>;
 }
 
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -13,7 +13,7 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
-import {RateGate} from '@sassafrasspan/limits';
+import {EndpointRates} from '@sassafrasspan/limits';
 import type {ClusterWatch, PeerClient, PeerRoutes} from '@sassafrasspan/peers';
 import {FleetSource, FleetState} from '@sassafrasspan/platform';
 import {
@@ -73,6 +73,7 @@
   private readonly fleet: FleetState;
   private readonly forwarder: CallForwarder;
   private readonly broadcaster: SuspicionBroadcaster;
+  private readonly rates: EndpointRates;
   private isDraining = false;
 
   private constructor(private readonly options: EntryRoleOptions) {
@@ -82,8 +83,10 @@
       clock,
       log,
       onRoutesChanged: options.onRoutes,
-      onEndpointsChanged: () => undefined,
+      onEndpointsChanged: () =>
+        this.rates.removeUnregistered(this.fleet.endpoints.listAll()),
     });
+    this.rates = EndpointRates.create(options);
     const quarantine = Quarantine.create(MAX_CRASHES);
     this.broadcaster = SuspicionBroadcaster.create({
       quarantine,
@@ -94,7 +97,7 @@
       endpoints: this.fleet.endpoints,
       pool: EndpointSelector.create(failureDomain, random),
       caller,
-      rateGate: RateGate.create({clock, log, metrics}),
+      rateGate: this.rates.gate,
       quarantine,
       clock,
       random,
@@ -111,11 +114,12 @@
   /** Starts to watch routes and endpoints. */
   start(source: FleetSource): void {
     this.fleet.start(source);
+    this.rates.start();
   }
 
   /** Returns handlers for the calls of other entries. */
   createRoutes(): PeerRoutes {
-    return this.broadcaster.createRoutes();
+    return {...this.broadcaster.createRoutes(), ...this.rates.createRoutes()};
   }
 
   /** Returns whether the load balancer should send requests. */
--- a/packages/core/src/batch/batch_endpoint.ts
+++ b/packages/core/src/batch/batch_endpoint.ts
@@ -2,6 +2,7 @@
  * A coordinator's state of one batch endpoint: its agent, its engine, its active
  * runs, and its token time.
  */
+import {RateBucket} from '../limits/rate_bucket';
 import type {ItemState} from './item_state';
 import {predictMemory} from './length_forecast';
 import {TokenTimeEstimator} from './token_time_estimator';
@@ -16,6 +17,8 @@
  * each further rejection, up to the maximum. */
 const MIN_BLOCK_MS = 60;
 const MAX_BLOCK_MS = 800;
+/** Number of starts that may follow each other at once under a limit. */
+const LIMITED_START_BURST = 2;
 
 /** A run that the coordinator tracks. */
 export interface TrackedRun {
@@ -64,6 +67,8 @@
   private readonly tokenTime = TokenTimeEstimator.create();
   private rejections = 0;
   private blockedUntilMs = -Infinity;
+  /** Paces starts while the engine states a limit. */
+  private starts: RateBucket | undefined;
 
   private constructor(registration: BatchEndpointRegistration) {
     this.registration = registration;
@@ -77,6 +82,8 @@
    * version. */
   applyEngine(engine: EngineState, nowMs: number): void {
     this.engine = engine;
+    if (engine.limit === undefined) this.starts = undefined;
+    else this.starts ??= RateBucket.create(LIMITED_START_BURST, nowMs);
     const {pendingLoad} = this;
     if (pendingLoad === undefined) return;
     const version = engine.versions[pendingLoad.model] ?? 0;
@@ -102,6 +109,7 @@
 
   /** Begins to track a run that was started or adopted. */
   trackRun(jobId: string, item: ItemState, runId: string, nowMs: number): void {
+    this.starts?.take(1, this.engine?.limit ?? 0, nowMs);
     this.runs.set(runId, {
       runId,
       jobId,
@@ -167,6 +175,8 @@
       loadingModel: this.pendingLoad?.model,
       runs: this.runs.size + reservedSlots,
       memory,
+      startsLeft:
+        this.starts?.count(this.engine?.limit ?? 0, nowMs) ?? Infinity,
       msPerToken: this.tokenTime.getMsPerToken(),
     };
   }
--- a/packages/core/src/batch/move_plan.ts
+++ b/packages/core/src/batch/move_plan.ts
@@ -39,7 +39,10 @@
   const freeSlots = new Map(
     endpoints
       .filter(endpoint => endpoint.isOpen)
-      .map(endpoint => [endpoint.id, endpoint.slots - endpoint.runs]),
+      .map(endpoint => [
+        endpoint.id,
+        Math.min(endpoint.slots - endpoint.runs, endpoint.startsLeft),
+      ]),
   );
   const ordered = [...runs].sort(
     (a, b) => b.remainingTokens - a.remainingTokens,
--- a/packages/core/src/batch/restart_plan.ts
+++ b/packages/core/src/batch/restart_plan.ts
@@ -52,6 +52,7 @@
   const version = endpoint.versions.get(model) ?? 0;
   return (
     endpoint.isOpen &&
+    endpoint.startsLeft >= 1 &&
     endpoint.loadingModel !== model &&
     job.endpointIds.has(endpoint.id) &&
     version >= job.minSurplusVersion
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -107,6 +107,8 @@
   waiting: z.number(),
   /** Memory in use that cannot be freed, in tokens. */
   memoryUsed: z.number(),
+  /** Requests per second that it takes; absent if it states no limit. */
+  limit: z.optional(z.number()),
 });
 
 /** Schema of the answer to a `sync` call. */
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -39,6 +39,9 @@
   readonly runs: number;
   /** Memory of each active run. */
   readonly memory: readonly RunMemory[];
+  /** Number of runs that may start now under the limit that the engine states;
+   * Infinity if it states none. */
+  readonly startsLeft: number;
   /** Time per token of a run without concurrent runs, in ms. */
   readonly msPerToken: number;
 }
@@ -116,6 +119,7 @@
 interface EndpointLoad {
   readonly endpoint: BatchEndpointView;
   runs: number;
+  startsLeft: number;
   readonly memory: RunMemory[];
 }
 
@@ -126,6 +130,7 @@
     .map(endpoint => ({
       endpoint,
       runs: endpoint.runs,
+      startsLeft: endpoint.startsLeft,
       memory: [...endpoint.memory],
     }));
   const hasFreeSlot = loads.some(load => load.runs < load.endpoint.slots);
@@ -141,6 +146,7 @@
       chooseEndpoint(candidate, loads);
     if (load === undefined) continue;
     load.runs += 1;
+    load.startsLeft -= 1;
     load.memory.push(predictCandidateMemory(candidate));
     starts.push({
       job: candidate.job.state,
@@ -238,6 +244,7 @@
     ({endpoint}) => endpoint.id === reservation?.endpointId,
   );
   if (load === undefined) return undefined;
+  if (load.startsLeft < 1) return undefined;
   load.runs -= 1;
   if (canRunItem(candidate.job, candidate.item, load.endpoint)) return load;
   load.runs += 1;
@@ -288,9 +295,8 @@
   needed: RunMemory,
 ): boolean {
   const {endpoint} = load;
-  if (load.runs >= endpoint.slots || !canRunItem(job, item, endpoint)) {
-    return false;
-  }
+  const hasFreeSlot = load.runs < endpoint.slots && load.startsLeft >= 1;
+  if (!hasFreeSlot || !canRunItem(job, item, endpoint)) return false;
   const version = endpoint.versions.get(job.state.job.model) ?? 0;
   if (rank === 'spare' && version < job.minSurplusVersion) return false;
   const limit = endpoint.memoryTokens * MEMORY_SHARE;
--- a/packages/core/src/calls/endpoint_selector.ts
+++ b/packages/core/src/calls/endpoint_selector.ts
@@ -20,6 +20,8 @@
 const REMOTE_COST_FACTOR = 1.15;
 /** Cost factor of an endpoint that is still slow after its start. */
 const COLD_COST_FACTOR = 2;
+/** Cost factor of an endpoint that states a limit on its requests. */
+const LIMITED_COST_FACTOR = 2;
 
 /** Load that an endpoint reports in its answers. */
 export interface ReportedLoad {
@@ -64,12 +66,14 @@
   /**
    * Returns the endpoint of lowest cost; undefined if all are excluded. Ejected
    * endpoints are chosen only when no other is available. A random surcharge of
-   * up to 2% distributes calls among endpoints of equal cost.
+   * up to 2% distributes calls among endpoints of equal cost. Endpoints that
+   * state a limit cost more, since they are in need.
    */
   choose(
     endpoints: readonly EndpointEntry[],
     excluded: ReadonlySet<string>,
     nowMs: number,
+    isLimited: (endpointId: string) => boolean = () => false,
   ): EndpointEntry | undefined {
     const candidates = endpoints.filter(endpoint => !excluded.has(endpoint.id));
     const healthy = candidates.filter(
@@ -79,7 +83,9 @@
     let best: EndpointEntry | undefined;
     let lowestCost = Infinity;
     for (const endpoint of pool) {
-      const cost = this.computeCost(endpoint, nowMs) * (1 + this.random() / 50);
+      const limitFactor = isLimited(endpoint.id) ? LIMITED_COST_FACTOR : 1;
+      const surcharge = 1 + this.random() / 50;
+      const cost = this.computeCost(endpoint, nowMs) * limitFactor * surcharge;
       if (cost >= lowestCost) continue;
       lowestCost = cost;
       best = endpoint;
--- a/packages/core/src/errors/error_kinds.ts
+++ b/packages/core/src/errors/error_kinds.ts
@@ -174,6 +174,12 @@
     retryAfterMs: RETRY_LATER_MS,
     summary: 'Every endpoint that may run the request is busy.',
   },
+  'rate-limited': {
+    status: 503,
+    outcome: 'not-run',
+    retryAfterMs: RETRY_SOON_MS,
+    summary: 'The endpoints of the service have reached the limits they state.',
+  },
   'too-many-open': {
     status: 503,
     outcome: 'not-run',
--- a/packages/core/src/limits/endpoint_limits.ts
+++ b/packages/core/src/limits/endpoint_limits.ts
@@ -1,17 +1,26 @@
 /**
  * The rate limits that endpoints state in their answers, as one node knows them.
  * An answer without a limit ends it only if its request was sent after the limit
- * was known: an earlier one may have been answered before the limit began.
+ * was last stated: an earlier one may have been answered before the limit began.
  */
 
-/** A limit and when it became known, on the monotonic clock of the node. */
+/** A limit and when it was last stated, on the monotonic clock of the node. */
 export interface StatedLimit {
   /** Requests per second, of all nodes together. */
   readonly perSecond: number;
-  readonly knownAtMs: number;
+  readonly statedAtMs: number;
 }
 
-/** What an answer changes: `unchanged` also when there was no limit before. */
+/** What an answer showed of an endpoint's limit. */
+export interface LimitObservation {
+  readonly endpointId: string;
+  /** Requests per second; undefined if the answer states no limit. */
+  readonly perSecond: number | undefined;
+  /** When a limit was stated; without one, when the request was sent. */
+  readonly atMs: number;
+}
+
+/** What an observation changes: `unchanged` also when there was no limit. */
 export type LimitChange = 'began' | 'changed' | 'ended' | 'unchanged';
 
 /** Limits by endpoint id. */
@@ -29,36 +38,32 @@
     return this.limits.get(endpointId);
   }
 
-  /** Lists the limits by endpoint id. */
-  list(): Array<[string, StatedLimit]> {
-    return [...this.limits];
+  /** Lists the limits as observations. */
+  list(): LimitObservation[] {
+    return [...this.limits].map(([endpointId, {perSecond, statedAtMs}]) => ({
+      endpointId,
+      perSecond,
+      atMs: statedAtMs,
+    }));
   }
 
-  /** Records the limit in an answer to a request that was sent at `sentAtMs`. */
-  recordAnswer(
-    endpointId: string,
-    perSecond: number | undefined,
-    sentAtMs: number,
-    nowMs: number,
-  ): LimitChange {
+  /** Applies an observation unless a later one is known. */
+  recordObservation(observation: LimitObservation): LimitChange {
+    const {endpointId, perSecond, atMs} = observation;
     const known = this.limits.get(endpointId);
+    if (known !== undefined && atMs < known.statedAtMs) return 'unchanged';
     if (perSecond === undefined) {
-      if (known === undefined || sentAtMs < known.knownAtMs) return 'unchanged';
-      this.limits.delete(endpointId);
-      return 'ended';
+      return this.limits.delete(endpointId) ? 'ended' : 'unchanged';
     }
-    this.limits.set(endpointId, {
-      perSecond,
-      knownAtMs: known?.perSecond === perSecond ? known.knownAtMs : nowMs,
-    });
+    this.limits.set(endpointId, {perSecond, statedAtMs: atMs});
     if (known === undefined) return 'began';
     return known.perSecond === perSecond ? 'unchanged' : 'changed';
   }
 
   /** Removes limits of endpoints that are no longer registered. */
-  removeUnregistered(registeredIds: ReadonlySet<string>): void {
+  removeUnregistered(endpointIds: ReadonlySet<string>): void {
     for (const id of this.limits.keys()) {
-      if (!registeredIds.has(id)) this.limits.delete(id);
+      if (!endpointIds.has(id)) this.limits.delete(id);
     }
   }
 }
--- a/packages/core/src/testing/plan_views.ts
+++ b/packages/core/src/testing/plan_views.ts
@@ -26,6 +26,7 @@
     loadingModel: undefined,
     runs: 0,
     memory: [],
+    startsLeft: Infinity,
     msPerToken: 0.65,
     ...values,
   };
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -17,7 +17,7 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
-import {RateGate} from '@sassafrasspan/limits';
+import {EndpointRates} from '@sassafrasspan/limits';
 import {
   ClusterWatch,
   PeerClient,
@@ -85,6 +85,7 @@
 export class CoordinatorRole {
   private readonly election: CoordinatorElection;
   private readonly fleet: FleetState;
+  private readonly rates: EndpointRates;
   private watches: RunnableWatch[] = [];
   private coordinator: JobCoordinator | undefined;
   /** Whether the coordinator has loaded the stored jobs. */
@@ -96,8 +97,12 @@
       clock,
       log,
       onRoutesChanged: () => this.updateAgents(),
-      onEndpointsChanged: () => this.updateAgents(),
+      onEndpointsChanged: () => {
+        this.rates.removeUnregistered(this.fleet.endpoints.listAll());
+        this.updateAgents();
+      },
     });
+    this.rates = EndpointRates.create(options);
     this.election = CoordinatorElection.create({
       ...options,
       onElected: record => void this.startCoordinator(record),
@@ -133,6 +138,7 @@
   /** Returns handlers for the calls of other nodes. */
   createRoutes(): PeerRoutes {
     return {
+      ...this.rates.createRoutes(),
       [JOB_PATHS.takeOver]: createHandler(z.unknown(), async () =>
         ok({isDone: await this.election.takeOver()}),
       ),
@@ -203,7 +209,7 @@
       forwarder: CallForwarder.create({
         ...this.options,
         endpoints,
-        rateGate: RateGate.create(this.options),
+        rateGate: this.rates.gate,
         pool: EndpointSelector.create(failureDomain, random),
         quarantine: Quarantine.create(MAX_CRASHES),
       }),
@@ -228,6 +234,7 @@
   private startWatches(coordinator: JobCoordinator): void {
     const {source} = this.options;
     this.fleet.start(source);
+    this.rates.start();
     this.watches = [
       source.createVersionWatch((model, version) => {
         this.options.log.writeEvent('version-published', {model, version});
--- a/packages/limits/src/rate_gate.ts
+++ b/packages/limits/src/rate_gate.ts
@@ -1,13 +1,50 @@
 /**
- * What a node knows of the rate limits that endpoints state in their answers.
+ * Admits sends to endpoints that state a limit. A node asks the keeper of the
+ * limit before each send; sends that wait for an answer of the keeper share the
+ * next question. While the keeper has nothing to grant, sends are denied at once.
  */
-import {Clock, EndpointLimits, LimitChange} from '@sassafrasspan/core';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
+import {
+  Clock,
+  EndpointEntry,
+  EndpointLimits,
+  Grant,
+  LimitChange,
+  LimitObservation,
+  RateKeeper,
+} from '@sassafrasspan/core';
+import type {PeerClient, RegisteredNode} from '@sassafrasspan/peers';
+import {EventLog, Metrics, parseAddress} from '@sassafrasspan/runtime';
+import {GRANT_SCHEMA, LIMIT_PATHS} from './limit_messages';
+
+/** Timeout of a question to a keeper, in ms: several round trips. */
+const GRANT_TIMEOUT_MS = 120;
+/** Time for which a keeper that did not answer is not asked, in ms. */
+const KEEPER_RETRY_MS = 2_000;
+/** Time for which sends are denied when no keeper answers, in ms. */
+const NO_KEEPER_MS = 250;
+const MS_PER_SECOND = 1_000;
+
+/** What identifies an endpoint to the keepers of its limit. */
+export type LimitedEndpoint = Pick<EndpointEntry, 'id' | 'address'>;
+
+/** Finds the nodes that keep limits. */
+export interface KeeperFinder {
+  /** Lists the keepers of an endpoint's limit; the first is asked first. */
+  listKeepers(endpoint: LimitedEndpoint): readonly RegisteredNode[];
+  /** Returns whether a node is this one. */
+  isOwn(node: RegisteredNode): boolean;
+}
 
 export interface RateGateOptions {
+  readonly directory: KeeperFinder;
+  /** Grants sends for the limits that this node keeps. */
+  readonly keeper: RateKeeper;
+  readonly peers: PeerClient;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  /** Called with what an answer of an endpoint has changed. */
+  readonly onChanged: (observation: LimitObservation) => void;
 }
 
 /** An answer of an endpoint, as far as its limit is concerned. */
@@ -18,8 +55,21 @@
   readonly sentAtMs: number;
 }
 
+/** Sends to one endpoint that wait for a grant. */
+interface PendingSends {
+  waiting: Array<(isGranted: boolean) => void>;
+  isAsking: boolean;
+  /** Time until which sends are denied. */
+  deniedUntilMs: number;
+  /** Time that the latest denied caller was told to come back at. */
+  returnAtMs: number;
+}
+
 export class RateGate {
   private readonly limits = EndpointLimits.create();
+  private readonly pending = new Map<string, PendingSends>();
+  /** Times until which silent keepers are not asked, by name. */
+  private readonly silentKeepers = new Map<string, number>();
 
   private constructor(private readonly options: RateGateOptions) {}
 
@@ -30,21 +80,166 @@
   /** Records the limit in an answer, or that it states none. */
   recordAnswer(answer: LimitedAnswer): void {
     const {endpointId, limit, sentAtMs} = answer;
-    const {clock, metrics} = this.options;
-    const nowMs = clock.readMonotonicMs();
-    const change = this.limits.recordAnswer(endpointId, limit, sentAtMs, nowMs);
-    if (limit !== undefined) metrics.addCount('limited_answers_total');
-    this.writeChange(change, endpointId, limit);
-  }
-
-  private writeChange(
-    change: LimitChange,
-    endpoint: string,
-    perSecond: number | undefined,
-  ): void {
+    const isLimited = limit !== undefined;
+    if (isLimited) this.options.metrics.addCount('limited_answers_total');
+    const atMs = isLimited ? this.readMs() : sentAtMs;
+    const observation = {endpointId, perSecond: limit, atMs};
+    const change = this.recordObservation(observation);
+    if (change !== 'unchanged') this.options.onChanged(observation);
+  }
+
+  /** Records what this node or another one has observed. */
+  recordObservation(observation: LimitObservation): LimitChange {
     const {log} = this.options;
-    if (change === 'unchanged') return;
-    if (change === 'ended') log.writeEvent('endpoint-unlimited', {endpoint});
-    else log.writeEvent('endpoint-limited', {endpoint, perSecond});
+    const {endpointId: endpoint, perSecond} = observation;
+    const change = this.limits.recordObservation(observation);
+    if (change === 'ended') {
+      this.pending.delete(endpoint);
+      log.writeEvent('endpoint-unlimited', {endpoint});
+    } else if (change !== 'unchanged') {
+      log.writeEvent('endpoint-limited', {endpoint, perSecond});
+    }
+    return change;
+  }
+
+  /** Lists the limits that are known. */
+  listObservations(): LimitObservation[] {
+    return this.limits.list();
+  }
+
+  isLimited(endpointId: string): boolean {
+    return this.limits.find(endpointId) !== undefined;
+  }
+
+  /** Returns whether a send to the endpoint would be denied now. */
+  isDenied(endpointId: string): boolean {
+    if (!this.isLimited(endpointId)) return false;
+    const deniedUntilMs = this.pending.get(endpointId)?.deniedUntilMs ?? 0;
+    return this.readMs() < deniedUntilMs;
+  }
+
+  /** Resolves with whether a call may be sent to the endpoint now. */
+  async admitSend(endpoint: LimitedEndpoint): Promise<boolean> {
+    if (!this.isLimited(endpoint.id)) return true;
+    if (this.isDenied(endpoint.id)) return false;
+    const sends = this.getPending(endpoint.id);
+    const granted = new Promise<boolean>(resolve => {
+      sends.waiting.push(resolve);
+    });
+    if (!sends.isAsking) void this.askForSends(endpoint, sends);
+    return granted;
+  }
+
+  /**
+   * Returns the time after which a caller should try again, in ms, given the
+   * endpoints that denied its call. Callers are told successive times, as far
+   * apart as the limits allow.
+   */
+  reserveReturn(endpointIds: readonly string[]): number | undefined {
+    const nowMs = this.readMs();
+    let earliest: PendingSends | undefined;
+    let earliestAtMs = Infinity;
+    for (const id of endpointIds) {
+      const limit = this.limits.find(id);
+      const sends = this.pending.get(id);
+      if (limit === undefined || sends === undefined) continue;
+      const intervalMs = MS_PER_SECOND / limit.perSecond;
+      const nextAtMs = Math.max(
+        sends.deniedUntilMs,
+        sends.returnAtMs + intervalMs,
+        nowMs,
+      );
+      if (nextAtMs >= earliestAtMs) continue;
+      earliest = sends;
+      earliestAtMs = nextAtMs;
+    }
+    if (earliest === undefined) return undefined;
+    earliest.returnAtMs = earliestAtMs;
+    return Math.ceil(earliestAtMs - nowMs);
+  }
+
+  /** Forgets endpoints that are no longer registered. */
+  removeUnregistered(endpointIds: ReadonlySet<string>): void {
+    this.limits.removeUnregistered(endpointIds);
+    for (const id of this.pending.keys()) {
+      if (!this.isLimited(id)) this.pending.delete(id);
+    }
+  }
+
+  private readMs(): number {
+    return this.options.clock.readMonotonicMs();
+  }
+
+  private getPending(endpointId: string): PendingSends {
+    const known = this.pending.get(endpointId);
+    if (known !== undefined) return known;
+    const created: PendingSends = {
+      waiting: [],
+      isAsking: false,
+      deniedUntilMs: 0,
+      returnAtMs: 0,
+    };
+    this.pending.set(endpointId, created);
+    return created;
+  }
+
+  /** Asks for all waiting sends at once, until none waits. */
+  private async askForSends(
+    endpoint: LimitedEndpoint,
+    sends: PendingSends,
+  ): Promise<void> {
+    sends.isAsking = true;
+    while (sends.waiting.length > 0) {
+      const {waiting} = sends;
+      sends.waiting = [];
+      const grant = await this.askKeepers(endpoint, waiting.length);
+      if (grant.granted < waiting.length) {
+        sends.deniedUntilMs = this.readMs() + grant.nextInMs;
+        this.options.metrics.addCount('limited_sends_denied_total');
+      }
+      for (const [index, resolve] of waiting.entries()) {
+        resolve(index < grant.granted);
+      }
+    }
+    sends.isAsking = false;
+  }
+
+  private async askKeepers(
+    endpoint: LimitedEndpoint,
+    wanted: number,
+  ): Promise<Grant> {
+    const {directory} = this.options;
+    for (const [rank, node] of directory.listKeepers(endpoint).entries()) {
+      const perSecond = this.limits.find(endpoint.id)?.perSecond;
+      if (perSecond === undefined) return {granted: wanted, nextInMs: 0};
+      const request = {endpointId: endpoint.id, perSecond, rank, wanted};
+      if (directory.isOwn(node)) {
+        return this.options.keeper.grantSends(request, this.readMs());
+      }
+      const grant = await this.askKeeper(node, request);
+      if (grant !== undefined) return grant;
+    }
+    return {granted: 0, nextInMs: NO_KEEPER_MS};
+  }
+
+  private async askKeeper(
+    node: RegisteredNode,
+    body: object,
+  ): Promise<Grant | undefined> {
+    const address = parseAddress(node.address);
+    const silentUntilMs = this.silentKeepers.get(node.name) ?? 0;
+    if (address === undefined || this.readMs() < silentUntilMs) {
+      return undefined;
+    }
+    const grant = await this.options.peers.call({
+      address,
+      path: LIMIT_PATHS.grant,
+      body,
+      schema: GRANT_SCHEMA,
+      timeoutMs: GRANT_TIMEOUT_MS,
+    });
+    if (grant.isOk()) return grant.value;
+    this.silentKeepers.set(node.name, this.readMs() + KEEPER_RETRY_MS);
+    return undefined;
   }
 }
--- a/packages/runs/src/agent_service.test.ts
+++ b/packages/runs/src/agent_service.test.ts
@@ -8,7 +8,7 @@
   RunOrder,
   createError,
 } from '@sassafrasspan/core';
-import {RateGate} from '@sassafrasspan/limits';
+import {EngineRates} from '@sassafrasspan/limits';
 import type {PeerContext} from '@sassafrasspan/peers';
 import {Metrics, SILENT_LOG, SYSTEM_CLOCK} from '@sassafrasspan/runtime';
 import {err, ok} from 'neverthrow';
@@ -56,7 +56,7 @@
     },
     control,
     loader,
-    rateGate: RateGate.create({...common, metrics: Metrics.create()}),
+    rates: EngineRates.create({...common, metrics: Metrics.create()}),
     metrics: Metrics.create(),
   });
   const routes = service.createRoutes();
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -18,7 +18,7 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
-import type {RateGate} from '@sassafrasspan/limits';
+import type {EngineRates} from '@sassafrasspan/limits';
 import {EventLog, Metrics, Waiters, waitMs} from '@sassafrasspan/runtime';
 import {PeerContext, PeerRoutes, createHandler} from '@sassafrasspan/peers';
 import {Result, err, ok} from 'neverthrow';
@@ -55,8 +55,8 @@
   readonly runner: ItemRunner;
   readonly control: EngineControl;
   readonly loader: WeightLoader;
-  /** Limits that the engine states. */
-  readonly rateGate: RateGate;
+  /** Keeps the limit that the engine states. */
+  readonly rates: EngineRates;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
@@ -97,6 +97,7 @@
   /** Returns the handlers of the coordinators' calls. */
   createRoutes(): PeerRoutes {
     return {
+      ...this.options.rates.createRoutes(),
       '/agent/sync': createHandler(SYNC_CALL_SCHEMA, (call, context) =>
         this.answerSync(call, context),
       ),
@@ -184,8 +185,9 @@
 
   private recordEngine(state: EngineState): void {
     const previous = this.engine;
-    this.engine = state;
+    this.engine = {...state, limit: this.options.rates.getLimit()};
     const isUnchanged =
+      previous.limit === this.engine.limit &&
       previous.isReachable === state.isReachable &&
       previous.isBusy === state.isBusy &&
       JSON.stringify(previous.versions) === JSON.stringify(state.versions);
@@ -293,7 +295,13 @@
   private startRun(order: RunOrder): void {
     if (!this.runs.add(order, this.readMs())) return;
     const {runId, itemId, endpointId, jobId} = order;
-    const {log, metrics, runner} = this.options;
+    const {log, metrics, runner, rates} = this.options;
+    if (!rates.admitRun(endpointId)) {
+      this.runs.end(runId, 'not-run', this.readMs());
+      const fields = {requestId: itemId, run: runId, endpoint: endpointId};
+      log.writeEvent('run-refused', {...fields, kind: 'rate-limited'});
+      return this.syncWaiters.wakeAll();
+    }
     log.writeEvent('run-started', {
       requestId: itemId,
       job: jobId,
@@ -304,12 +312,10 @@
     });
     const startedAtMs = this.readMs();
     const cancel = runner.startRun(order, {
-      onReply: limit =>
-        this.options.rateGate.recordAnswer({
-          endpointId,
-          limit,
-          sentAtMs: startedAtMs,
-        }),
+      onReply: limit => {
+        const answer = {endpointId, limit, sentAtMs: startedAtMs};
+        if (rates.recordAnswer(answer)) this.recordEngine(this.engine);
+      },
       onEvent: event => {
         const isFirstUnsent = this.runs.addEvent(runId, event, this.readMs());
         if (isFirstUnsent) this.syncWaiters.wakeAll();
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -1,6 +1,8 @@
 /** Help texts of the metrics in the Prometheus output, by name. */
 export const METRIC_HELP: Readonly<Record<string, string>> = {
   limited_answers_total: 'Answers of endpoints that state a rate limit.',
+  limited_sends_denied_total:
+    'Questions of this node that a keeper of a rate limit did not grant in full.',
   platform_parts_down: 'Parts of the platform that do not answer this node.',
   ready: 'Whether the node takes work: 1 or 0.',
   request_ms: 'Time from dispatch to the whole answer, by service, in ms.',
