--- a/packages/calls/src/call_forwarder.test.ts
+++ b/packages/calls/src/call_forwarder.test.ts
@@ -38,6 +38,7 @@
   return {
     id,
     service: 's',
+    software: 's',
     address: `${id}:1`,
     failureDomain: 'a',
     slots: 4,
--- a/packages/core/src/batch/batch_endpoint.ts
+++ b/packages/core/src/batch/batch_endpoint.ts
@@ -49,6 +49,8 @@
 export interface BatchEndpointRegistration {
   readonly endpointId: string;
   readonly service: string;
+  /** Version of the endpoint's software. */
+  readonly software: string;
   readonly slots: number;
   readonly memoryTokens: number;
   readonly tokensPerEvent: number;
--- a/packages/core/src/batch/batch_planner.ts
+++ b/packages/core/src/batch/batch_planner.ts
@@ -206,10 +206,14 @@
     const view = {jobs, endpoints, nowMs, ranks, reservations};
     const starts = policy.planStarts(view);
     for (const start of starts) {
-      const {rank, remainingTokens, msPerToken, endpointId} = start;
+      const {rank, remainingTokens, msPerToken, endpointId, item} = start;
       const endpointOrders = orders.get(endpointId);
-      endpointOrders.starts.push(this.startItem(start, nowMs));
-      endpointOrders.reasons.push({rank, remainingTokens, msPerToken});
+      const textSoftware = item.events[0]?.software;
+      const order = this.startItem(start, nowMs);
+      const {software} = order;
+      const reason = {rank, remainingTokens, msPerToken, software};
+      endpointOrders.starts.push(order);
+      endpointOrders.reasons.push({...reason, textSoftware});
     }
   }
 
@@ -241,7 +245,8 @@
     const {job} = state;
     const {id, path, headers, body} = item.item;
     const runId = createRunId();
-    const version = endpoints.find(endpointId)?.getVersion(job.model) ?? 0;
+    const endpoint = endpoints.find(endpointId);
+    const version = endpoint?.getVersion(job.model) ?? 0;
     state.clearMixedText(id, version);
     const minVersion = jobs.computeMinSurplusVersion(job);
     if (rank === 'spare' && version >= minVersion) {
@@ -251,13 +256,14 @@
     endpoints.releaseSlot(id);
     const run = {runId, endpointId, startedAtMs: nowMs, firstEvent};
     state.startRun(id, run, nowMs);
-    endpoints.find(endpointId)?.trackRun(state.job.id, item, runId, nowMs);
+    endpoint?.trackRun(state.job.id, item, runId, nowMs);
     const retentionMs = jobs.findBounds(job)?.retentionMs ?? Infinity;
     return {
       runId,
       jobId: job.id,
       itemId: id,
       endpointId,
+      software: endpoint?.registration.software ?? '',
       host: job.host,
       path,
       headers,
--- a/packages/core/src/batch/batch_scheduler.fuzz.test.ts
+++ b/packages/core/src/batch/batch_scheduler.fuzz.test.ts
@@ -18,6 +18,7 @@
   | {type: 'heal'}
   | {type: 'new-coordinator'}
   | {type: 'version'}
+  | {type: 'replace'; engine: number; software: string}
   | {type: 'wait'; ms: number};
 
 const ENGINE = fc.integer({min: 0, max: 3});
@@ -33,12 +34,20 @@
   fc.constant({type: 'heal' as const}),
   fc.constant({type: 'new-coordinator' as const}),
   fc.constant({type: 'version' as const}),
+  fc.record({
+    type: fc.constant('replace' as const),
+    engine: ENGINE,
+    software: fc.constantFrom('s1', 's2'),
+  }),
   fc.record({
     type: fc.constant('wait' as const),
     ms: fc.integer({min: 50, max: 1_500}),
   }),
 );
 
+/** What the simulation adds to events of other software than the first. */
+const SOFTWARE_MARK = /@\w+/g;
+
 function countEvents(itemId: string): number {
   return 3 + (Number(itemId.split('-')[1]) % 9) * 6;
 }
@@ -69,6 +78,11 @@
       return;
     case 'new-coordinator':
       return simulation.replaceCoordinator();
+    case 'replace':
+      return simulation.replaceEngine(
+        simulation.engines[fault.engine],
+        fault.software,
+      );
     case 'version':
       versions[0] += 1;
       return simulation.scheduler.setNewestVersion(
@@ -90,7 +104,7 @@
       {length: countEvents(itemId)},
       (_, index) => `${itemId}:${index}`,
     );
-    expect(text).toBe(expectedEvents.join('\n'));
+    expect(text.replaceAll(SOFTWARE_MARK, '')).toBe(expectedEvents.join('\n'));
     expect(Math.min(...versions)).toBeGreaterThanOrEqual(minVersion);
   }
 }
@@ -154,6 +168,39 @@
   );
 });
 
+test('a text goes on at an engine with other software than it began at', () => {
+  fc.assert(
+    fc.property(fc.array(FAULT, {maxLength: 25}), faults => {
+      const simulation = BatchSimulation.create({
+        engines: 4,
+        slots: 3,
+        countEvents,
+      });
+      simulation.replaceEngine(simulation.engines[2], 's2');
+      simulation.replaceEngine(simulation.engines[3], 's2');
+      simulation.submitJob(
+        createTestJob({id: 'a', groups: 6, size: 4, desiredGroups: 5}),
+      );
+      const versions = [1];
+      for (const fault of faults) {
+        applyFault(simulation, fault, versions);
+        simulation.advance(100);
+      }
+      applyFault(simulation, {type: 'heal'}, versions);
+      const isDone = () => simulation.findJob('a')?.results.length === ITEMS;
+      expect(simulation.advanceUntil(isDone, 30_000)).toBe(true);
+      const results = (simulation.logs.get('a') ?? []).flat();
+      checkResults(results, 1);
+      const marks = results.map(({text}) => {
+        const lines = text.split('\n');
+        return new Set(lines.map(line => line.split('@')[1] ?? 's1')).size;
+      });
+      expect(Math.max(...marks)).toBe(1);
+    }),
+    readFuzzParameters(5, 60),
+  );
+});
+
 test('no item starts after its job has ended', () => {
   fc.assert(
     fc.property(
--- a/packages/core/src/batch/batch_scheduler.ts
+++ b/packages/core/src/batch/batch_scheduler.ts
@@ -11,7 +11,7 @@
 import {ScoringOutcome, applyScoringOutcome} from './item_scoring';
 import type {ItemState} from './item_state';
 import type {JobState} from './job_state';
-import type {EngineState, RunUpdate} from './run_messages';
+import {EngineState, RunUpdate, decodeEvents} from './run_messages';
 import {BatchEndpoints} from './batch_endpoints';
 import {
   PlannedScoring,
@@ -186,7 +186,7 @@
     if (end !== undefined) endpoint.runs.delete(runId);
     if (isRejection(update)) endpoint.recordRejection(nowMs);
     if (this.jobs.carryOver.applyUpdate(update)) return;
-    const events = update.events.map(([data, version]) => ({data, version}));
+    const events = decodeEvents(update.events, update.software);
     this.replaceRun(update, events);
     const state = this.jobs.findJobOfRun(runId, jobId, itemId);
     if (state === undefined) return this.stopActiveRun(endpoint, runId, end);
--- a/packages/core/src/batch/batch_types.ts
+++ b/packages/core/src/batch/batch_types.ts
@@ -84,6 +84,8 @@
   readonly data: string;
   /** Weight version that generated the event. */
   readonly version: number;
+  /** Version of the software of the endpoint that generated it. */
+  readonly software: string;
 }
 
 /** How a run of an item at an endpoint ended. */
--- a/packages/core/src/batch/carry_over.ts
+++ b/packages/core/src/batch/carry_over.ts
@@ -15,7 +15,7 @@
 } from './batch_types';
 import type {ItemState, ObservedLength} from './item_state';
 import type {JobState} from './job_state';
-import type {RunUpdate} from './run_messages';
+import {RunUpdate, decodeEvents} from './run_messages';
 
 /** Maximum number of saved items; the oldest are evicted. */
 const MAX_SAVED_ITEMS = 4_000;
@@ -165,7 +165,7 @@
     const run = this.runs.get(update.runId);
     if (run === undefined) return false;
     const fresh = update.events.slice(run.events.length - update.from);
-    run.events.push(...fresh.map(([data, version]) => ({data, version})));
+    run.events.push(...decodeEvents(fresh, update.software));
     if (update.end !== undefined) {
       this.finishRun(run.runId, update.end === 'completed');
     }
--- a/packages/core/src/batch/endpoint_orders.ts
+++ b/packages/core/src/batch/endpoint_orders.ts
@@ -6,6 +6,9 @@
 export interface ItemStartReason {
   readonly rank: ItemRank;
   readonly remainingTokens: number;
+  /** Version of the endpoint's software, and that of the text so far, if any. */
+  readonly software: string;
+  readonly textSoftware: string | undefined;
   /** Time per token at the endpoint of a run without concurrent runs, in ms. */
   readonly msPerToken: number;
 }
--- a/packages/core/src/batch/flush_decision.test.ts
+++ b/packages/core/src/batch/flush_decision.test.ts
@@ -89,7 +89,7 @@
   const maxEvents = Math.ceil(item.item.maxOutputTokens / 57);
   const count = Math.floor((nowMs / MAX_TEXT_MS) * maxEvents);
   while (item.events.length < Math.min(count, maxEvents)) {
-    item.events.push({data: 'x', version: 1});
+    item.events.push({data: 'x', version: 1, software: 's'});
     item.lastEventAtMs = nowMs;
   }
 }
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -7,7 +7,7 @@
 import * as z from 'zod/mini';
 import type {TextEvent} from './batch_types';
 import type {JobState} from './job_state';
-import {EVENT_SCHEMA} from './run_messages';
+import {EVENT_SCHEMA, decodeEvents} from './run_messages';
 
 /** Time between checkpoints, in ms. With the time of a write, a crash of all
  * nodes costs each run at most one second. */
@@ -27,6 +27,8 @@
     z.object({
       jobId: z.string(),
       itemId: z.string(),
+      /** Version of the software that generated the events. */
+      software: z._default(z.string(), ''),
       events: z.array(EVENT_SCHEMA),
       /** Whether the text is complete, and its score if there is one. */
       isComplete: z.optional(z.boolean()),
@@ -63,6 +65,7 @@
     parts[parts.length - 1].items.push({
       jobId,
       itemId: item.item.id,
+      software: item.events[0]?.software ?? '',
       events: item.events.map(encodeEvent),
       isComplete: item.result?.state === 'completed',
       score: item.result?.score,
@@ -87,10 +90,10 @@
   nowMs: number,
 ): void {
   for (const saved of parts.flatMap(part => part.items)) {
-    const {jobId, itemId, events, isComplete, score} = saved;
+    const {jobId, itemId, software, events, isComplete, score} = saved;
     const knownEvents = state.items.get(itemId)?.events.length ?? 0;
     if (jobId !== state.job.id || events.length <= knownEvents) continue;
-    const text = events.map(([data, version]) => ({data, version}));
+    const text = decodeEvents(events, software);
     if (isComplete) state.restoreCompleteText(itemId, text, score, nowMs);
     else state.restoreText(itemId, text);
   }
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -8,6 +8,7 @@
  * the work of the previous one.
  */
 import * as z from 'zod/mini';
+import type {TextEvent} from './batch_types';
 
 /** Schema of an event: its data and its weight version. A tuple keeps the most
  * frequent message short. */
@@ -21,6 +22,8 @@
   /** Endpoint that must run the item; another endpoint at its address rejects
    * the order. */
   endpointId: z.string(),
+  /** Version of the endpoint's software. */
+  software: z._default(z.string(), ''),
   host: z.string(),
   path: z.string(),
   headers: z.record(z.string(), z.string()),
@@ -73,12 +76,22 @@
   isAnew: z.boolean(),
 });
 
+/** Decodes events of a text that one software version generates. */
+export function decodeEvents(
+  events: ReadonlyArray<z.infer<typeof EVENT_SCHEMA>>,
+  software: string,
+): TextEvent[] {
+  return events.map(([data, version]) => ({data, version, software}));
+}
+
 /** Schema of an update of a run. */
 export const RUN_UPDATE_SCHEMA = z.object({
   runId: z.string(),
   jobId: z.string(),
   itemId: z.string(),
   endpointId: z.string(),
+  /** Version of the software that generates the text. */
+  software: z._default(z.string(), ''),
   /** Number of events of the text before the run. */
   firstEvent: z.number(),
   /** Position of the first event of this update in the complete text. */
--- a/packages/core/src/batch/run_registry.fuzz.test.ts
+++ b/packages/core/src/batch/run_registry.fuzz.test.ts
@@ -29,6 +29,7 @@
     jobId: 'job',
     itemId: `item-${run}`,
     endpointId: 'e',
+    software: 's',
     host: 'h',
     path: '/',
     headers: {},
@@ -72,7 +73,7 @@
           const run = `run-${'run' in step ? step.run : 0}`;
           registry.addEvent(
             run,
-            {data: `e${(eventCount += 1)}`, version: 1},
+            {data: `e${(eventCount += 1)}`, version: 1, software: 's'},
             eventCount,
           );
         },
--- a/packages/core/src/batch/run_registry.ts
+++ b/packages/core/src/batch/run_registry.ts
@@ -4,7 +4,7 @@
  * stored only then.
  */
 import type {RunEnd, TextEvent} from './batch_types';
-import type {RunOrder, RunUpdate} from './run_messages';
+import {RunOrder, RunUpdate, decodeEvents} from './run_messages';
 
 /** Maximum time for which unsent events wait for an answer, in ms. */
 const PROGRESS_DELAY_MS = 200;
@@ -44,7 +44,7 @@
   /** Adds a run; returns false when it exists already. */
   add(order: RunOrder, nowMs: number): boolean {
     if (this.runs.has(order.runId)) return false;
-    const prior = order.prior.map(([data, version]) => ({data, version}));
+    const prior = decodeEvents(order.prior, order.software);
     this.runs.set(order.runId, {
       order,
       events: prior,
@@ -177,12 +177,13 @@
 }
 
 function createUpdate(run: RegisteredRun): RunUpdate {
-  const {runId, jobId, itemId, endpointId, prior} = run.order;
+  const {runId, jobId, itemId, endpointId, software, prior} = run.order;
   return {
     runId,
     jobId,
     itemId,
     endpointId,
+    software,
     firstEvent: prior.length,
     from: run.sentEvents,
     events: run.events
--- a/packages/core/src/batch/takeover.test.ts
+++ b/packages/core/src/batch/takeover.test.ts
@@ -25,6 +25,7 @@
   const scheduler = BatchScheduler.create({
     findBounds: () => ({
       service: 'lm',
+      software: 's',
       maxAttempts: 3,
       retentionMs: 40_000,
       runDeadlineMs: 7_500,
@@ -46,6 +47,7 @@
     ['first', 'second'].map(endpointId => ({
       endpointId,
       service: 'lm',
+      software: 's',
       slots: 4,
       memoryTokens: 100_000,
       tokensPerEvent: 57,
@@ -67,6 +69,7 @@
     jobId: 'a',
     itemId: 'a-0',
     endpointId: 'second',
+    software: 's',
     firstEvent: 0,
     from: 0,
     events: createText(count),
@@ -99,7 +102,7 @@
 function createRestarted() {
   const {scheduler, state} = createCoordinator();
   const progress = createText(3);
-  const items = [{jobId: 'a', itemId: 'a-0', events: progress}];
+  const items = [{jobId: 'a', itemId: 'a-0', software: 's', events: progress}];
   restoreProgress(state, [{items}], 0);
   scheduler.applySync('first', [], ENGINE, 10);
   const [started] = scheduler.plan(LONG_MS).flatMap(orders => orders.starts);
--- a/packages/core/src/calls/calls.test.ts
+++ b/packages/core/src/calls/calls.test.ts
@@ -83,6 +83,7 @@
   return {
     id,
     service: 's',
+    software: 's',
     address: `${id}:1`,
     failureDomain,
     slots: 6,
--- a/packages/core/src/fleet/endpoint_directory.ts
+++ b/packages/core/src/fleet/endpoint_directory.ts
@@ -17,6 +17,8 @@
   /** Name of the endpoint; usually changes when the endpoint restarts. */
   readonly id: string;
   readonly service: string;
+  /** Version of the endpoint's software; versions have no order. */
+  readonly software: string;
   /** `host:port`. */
   readonly address: string;
   readonly failureDomain: string;
--- a/packages/core/src/fleet/fleet.test.ts
+++ b/packages/core/src/fleet/fleet.test.ts
@@ -10,6 +10,7 @@
   return {
     id,
     service: 's',
+    software: 's',
     address: `10.0.0.1:${id.length}`,
     failureDomain: 'a',
     slots: 4,
--- a/packages/core/src/testing/batch_simulation.ts
+++ b/packages/core/src/testing/batch_simulation.ts
@@ -28,6 +28,8 @@
 /** Relative increase of the time per token for each further run. */
 const SLOWDOWN_PER_RUN = 0.007;
 const LOAD_MS = 900;
+/** Software version of all engines at first; events of others are marked. */
+const FIRST_SOFTWARE = 's1';
 const RUN_DEADLINE_MS = 7_500;
 
 /** A run at an engine. */
@@ -39,7 +41,7 @@
 
 /** An engine with its agent. */
 export interface SimulatedEngine {
-  readonly id: string;
+  id: string;
   readonly slots: number;
   /** Factor by which tokens take longer than usual. */
   slowdown: number;
@@ -47,6 +49,8 @@
   /** Whether the coordinator cannot reach the agent. */
   isPartitioned: boolean;
   version: number;
+  /** Version of its software. */
+  software: string;
   load: {version: number; untilMs: number} | undefined;
   readonly registry: RunRegistry;
   readonly runs: Map<string, EngineRun>;
@@ -94,6 +98,7 @@
       isDown: false,
       isPartitioned: false,
       version: 1,
+      software: FIRST_SOFTWARE,
       load: undefined,
       registry: RunRegistry.create(),
       runs: new Map(),
@@ -150,6 +155,15 @@
     }
   }
 
+  /** Replaces an engine by one with other software, under another id. */
+  replaceEngine(engine: SimulatedEngine, software: string): void {
+    this.crashEngine(engine);
+    this.sync(engine);
+    engine.id += "'";
+    engine.software = software;
+    this.registerEngines();
+  }
+
   /** Advances the simulation by a time in ms. */
   advance(durationMs: number): void {
     const endMs = this.nowMs + durationMs;
@@ -187,6 +201,7 @@
       this.engines.map(engine => ({
         endpointId: engine.id,
         service: 'lm',
+        software: engine.software,
         slots: engine.slots,
         memoryTokens: 100_000,
         tokensPerEvent: TOKENS_PER_EVENT,
@@ -234,7 +249,10 @@
     itemId: string,
   ): void {
     const eventCount = engine.registry.find(runId)?.events.length ?? 0;
-    const event = {data: `${itemId}:${eventCount}`, version: engine.version};
+    const {version, software} = engine;
+    const mark = software === FIRST_SOFTWARE ? '' : `@${software}`;
+    const data = `${itemId}:${eventCount}${mark}`;
+    const event = {data, version, software};
     engine.registry.addEvent(runId, event, this.nowMs);
     if (eventCount + 1 >= this.options.countEvents(itemId)) {
       const madeAtMs = this.textMadeAtMs.get(itemId) ?? this.nowMs;
--- a/packages/jobs/src/checkpoint_writer.test.ts
+++ b/packages/jobs/src/checkpoint_writer.test.ts
@@ -21,7 +21,11 @@
 ): JobState {
   const job = createTestJob({id, groups: 1, size: 4, desiredGroups: 1});
   const state = JobState.create(job, 0);
-  const text = Array.from({length: events}, () => ({data, version: 1}));
+  const text = Array.from({length: events}, () => ({
+    data,
+    version: 1,
+    software: 's',
+  }));
   for (const itemId of state.items.keys()) state.restoreText(itemId, text);
   return state;
 }
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -284,6 +284,7 @@
     const registration: BatchEndpointRegistration = {
       endpointId: endpoint.id,
       service: endpoint.service,
+      software: endpoint.software,
       slots: endpoint.slots,
       memoryTokens: description?.memoryTokens ?? Infinity,
       tokensPerEvent: description?.tokensPerEvent ?? 1,
--- a/packages/jobs/src/job_writer.test.ts
+++ b/packages/jobs/src/job_writer.test.ts
@@ -15,7 +15,13 @@
 function finishItem(state: JobState, itemId: string): void {
   const run = {runId: itemId, endpointId: 'e', startedAtMs: 0, firstEvent: 0};
   state.startRun(itemId, run, 0);
-  state.addEvents(itemId, itemId, 0, [{data: itemId, version: 1}], 0);
+  state.addEvents(
+    itemId,
+    itemId,
+    0,
+    [{data: itemId, version: 1, software: 's'}],
+    0,
+  );
   state.endRun(itemId, itemId, 'completed', 0, 3);
 }
 
@@ -73,7 +79,9 @@
 
 test('a record of another coordinator comes first, and no item is listed twice', async () => {
   const state = JobState.create(JOB, 0);
-  const other = createCompletedResult('j-1', [{data: 'other', version: 1}]);
+  const other = createCompletedResult('j-1', [
+    {data: 'other', version: 1, software: 's'},
+  ]);
   const log: LogRecord[] = [{sequence: 0, results: [other], writer: 'other'}];
   const {writer, listed} = createWriter(state, createStore(log));
   await finishAll(state, writer);
--- a/packages/runs/src/agent_service.test.ts
+++ b/packages/runs/src/agent_service.test.ts
@@ -23,6 +23,7 @@
     jobId: 'j',
     itemId,
     endpointId: 'e',
+    software: 's',
     host: 'h',
     path: '/p',
     headers: {},
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -316,7 +316,8 @@
         const answer = {endpointId, limit, sentAtMs: startedAtMs};
         if (rates.recordAnswer(answer)) this.recordEngine(this.engine);
       },
-      onEvent: event => {
+      onEvent: generated => {
+        const event = {...generated, software: order.software};
         const isFirstUnsent = this.runs.addEvent(runId, event, this.readMs());
         if (isFirstUnsent) this.syncWaiters.wakeAll();
       },
--- a/packages/runs/src/engine_ports.ts
+++ b/packages/runs/src/engine_ports.ts
@@ -13,7 +13,7 @@
   /** Called once if the engine replies, with the requests per second that it
    * takes from all nodes together; undefined if it states no limit. */
   onReply(limit: number | undefined): void;
-  onEvent(event: TextEvent): void;
+  onEvent(event: Omit<TextEvent, 'software'>): void;
   /** Called once, after the last event. */
   onEnd(end: RunEnd, detail: string): void;
 }
