Continue a text only at engines with the software that began it

Change: canRunItem asks for the software of the text; hasAllowedVersions, which all ways of joining texts pass, rejects events of two; a start at other software begins again.

--- a/packages/core/src/batch/batch_endpoint.ts
+++ b/packages/core/src/batch/batch_endpoint.ts
@@ -151,6 +151,14 @@
     }
   }
 
+  /** Returns whether the endpoint can run items, perhaps after a short pause. */
+  isAvailable(): boolean {
+    const isReachable = this.engine?.isReachable === true;
+    return (
+      this.isAgentResponding && isReachable && !this.registration.isDraining
+    );
+  }
+
   /** Returns the state of the endpoint for planning; reserved slots count as
    * runs. */
   describe(
@@ -158,22 +166,21 @@
     reservedSlots: number,
     nowMs: number,
   ): BatchEndpointView {
-    const {endpointId, slots, memoryTokens, isDraining} = this.registration;
+    const {endpointId, slots, memoryTokens} = this.registration;
     const {tokensPerEvent} = this.registration;
     const memory = [...this.runs.values()].map(({item}) =>
       predictMemory(item, tokensPerEvent),
     );
-    const isReachable = this.engine?.isReachable === true;
-    const isAvailable = !isDraining && nowMs >= this.blockedUntilMs;
     // A load that an earlier coordinator ordered may be of any model.
     const isLoadUnknown = this.isLoading() && this.pendingLoad === undefined;
     return {
       id: endpointId,
+      software: this.registration.software,
       slots,
       memoryTokens,
       versions: new Map(models.map(model => [model, this.getVersion(model)])),
       isOpen:
-        this.isAgentResponding && isReachable && isAvailable && !isLoadUnknown,
+        this.isAvailable() && nowMs >= this.blockedUntilMs && !isLoadUnknown,
       loadingModel: this.pendingLoad?.model,
       runs: this.runs.size + reservedSlots,
       memory,
--- a/packages/core/src/batch/batch_planner.ts
+++ b/packages/core/src/batch/batch_planner.ts
@@ -4,7 +4,7 @@
  * runs are moved before surplus items start, so that free slots are used where
  * they save most time.
  */
-import {ItemState} from './item_state';
+import {ItemState, clearText} from './item_state';
 import {AVOID_FAILED_MS, JobState} from './job_state';
 import type {JobRegistry} from './job_registry';
 import {predictRemainingTokens} from './length_forecast';
@@ -20,6 +20,7 @@
   planScoring,
 } from './scoring_plan';
 import {planRestarts} from './restart_plan';
+import {isOrphaned} from './orphaned_texts';
 import {
   ItemRank,
   JobView,
@@ -87,6 +88,7 @@
     const orders = OrderCollector.create();
     for (const state of jobs.list()) state.expireAvoidedEndpoints(nowMs);
     const views = jobs.list().map(state => this.describeJob(state));
+    if (mayStart) abandonOrphanedTexts(views, nowMs);
     if (mayStart) this.startItems(views, ['carried', 'wanted'], orders, nowMs);
     this.moveRuns(views, orders, nowMs);
     this.restartRuns(views, orders, nowMs);
@@ -228,9 +230,16 @@
     const serving = endpoints
       .list()
       .filter(({registration}) => registration.service === bounds?.service);
+    const available = serving
+      .filter(item => item.isAvailable())
+      .map(item => ({
+        software: item.registration.software,
+        weights: item.getVersion(state.job.model),
+      }));
     return {
       state,
       endpointIds: new Set(serving.map(item => item.registration.endpointId)),
+      available,
       tokensPerEvent: serving[0]?.registration.tokensPerEvent ?? 1,
       runDeadlineMs: bounds?.runDeadlineMs ?? DEFAULT_RUN_DEADLINE_MS,
       minSurplusVersion: jobs.computeMinSurplusVersion(state.job),
@@ -247,7 +256,8 @@
     const runId = createRunId();
     const endpoint = endpoints.find(endpointId);
     const version = endpoint?.getVersion(job.model) ?? 0;
-    state.clearMixedText(id, version);
+    const software = endpoint?.registration.software ?? '';
+    state.clearMixedText(id, version, software);
     const minVersion = jobs.computeMinSurplusVersion(job);
     if (rank === 'spare' && version >= minVersion) {
       state.clearObsoleteText(id, minVersion);
@@ -263,7 +273,7 @@
       jobId: job.id,
       itemId: id,
       endpointId,
-      software: endpoint?.registration.software ?? '',
+      software,
       host: job.host,
       path,
       headers,
@@ -295,6 +305,15 @@
   }
 }
 
+/** Clears the texts that no engine can continue, so that they begin again. */
+function abandonOrphanedTexts(jobs: readonly JobView[], nowMs: number): void {
+  for (const job of jobs) {
+    for (const item of job.state.items.values()) {
+      if (isOrphaned(job, item, nowMs)) clearText(item);
+    }
+  }
+}
+
 /** Lists the active runs of a job that are not being stopped. */
 function listMovableRuns(job: JobView): MovableRun[] {
   const runs: MovableRun[] = [];
--- a/packages/core/src/batch/item_state.ts
+++ b/packages/core/src/batch/item_state.ts
@@ -91,3 +91,14 @@
     lastEventAtMs: 0,
   };
 }
+
+/** Clears the text of an item and remembers its length for predictions. */
+export function clearText(state: ItemState): void {
+  const {observedLength, events} = state;
+  if (!observedLength?.isComplete) {
+    const known = observedLength?.events ?? 0;
+    const longest = Math.max(known, events.length);
+    state.observedLength = {events: longest, isComplete: false};
+  }
+  state.events = [];
+}
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -13,7 +13,13 @@
   createCompletedResult,
 } from './batch_types';
 import {adaptScore, settleItem} from './item_scoring';
-import {ItemRun, ItemState, createItemState, isObsolete} from './item_state';
+import {
+  ItemRun,
+  ItemState,
+  clearText,
+  createItemState,
+  isObsolete,
+} from './item_state';
 
 /** Delay before an item is retried, by how its run ended, in ms; 0 for other
  * ends. */
@@ -140,39 +146,35 @@
     return true;
   }
 
-  /** Returns whether no event is from a version that is too old, and all are from
-   * the same version if the job requires that. */
+  /** Returns whether no event is from a weight version that is too old, all are
+   * from the same one if the job requires that, and all are from the same
+   * software, since the output of two software versions does not fit together. */
   hasAllowedVersions(events: readonly TextEvent[]): boolean {
     const {minVersion, isSingleVersion} = this.job;
-    const first = events[0]?.version;
+    const [first] = events;
     return events.every(
-      ({version}) =>
-        version >= minVersion && (!isSingleVersion || version === first),
+      ({version, software}) =>
+        version >= minVersion &&
+        (!isSingleVersion || version === first.version) &&
+        software === first.software,
     );
   }
 
-  /** Clears the text of an item if a run with this version must not continue it,
-   * because the job requires a single version. */
-  clearMixedText(itemId: string, version: number): void {
+  /** Clears the text of an item if a run with this weight and software version
+   * must not continue it; its length is remembered for predictions. */
+  clearMixedText(itemId: string, version: number, software: string): void {
     const state = this.items.get(itemId);
-    const isMixed = state?.events.at(-1)?.version !== version;
-    if (state !== undefined && this.job.isSingleVersion && isMixed) {
-      state.events = [];
-    }
+    const last = state?.events.at(-1);
+    if (state === undefined || last === undefined) return;
+    const isMixed = this.job.isSingleVersion && last.version !== version;
+    if (isMixed || last.software !== software) clearText(state);
   }
 
   /** Clears the text of an item if its oldest version is below `minVersion`; its
    * length is remembered for predictions. */
   clearObsoleteText(itemId: string, minVersion: number): void {
     const state = this.items.get(itemId);
-    if (state === undefined || !isObsolete(state, minVersion)) return;
-    const {observedLength, events} = state;
-    if (!observedLength?.isComplete) {
-      const known = observedLength?.events ?? 0;
-      const longest = Math.max(known, events.length);
-      state.observedLength = {events: longest, isComplete: false};
-    }
-    state.events = [];
+    if (state !== undefined && isObsolete(state, minVersion)) clearText(state);
   }
 
   /** Records the start of a run; without effect unless the item waits. */
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -10,7 +10,7 @@
  * earliest to meet its deadline starts first, so that no long item starts only
  * when the others end.
  */
-import {ItemState, isSuspect} from './item_state';
+import {ItemState, isObsolete, isSuspect} from './item_state';
 import {JobState, GroupState} from './job_state';
 import {predictMemory, predictRemainingTokens} from './length_forecast';
 import {RunMemory, computePeakMemory} from './memory_forecast';
@@ -22,11 +22,13 @@
 
 /** Token time assumed when planning for deadlines, in ms: that of a typical
  * engine with all slots in use. */
-const TYPICAL_MS_PER_TOKEN = 0.72;
+export const TYPICAL_MS_PER_TOKEN = 0.72;
 
 /** State of a batch endpoint that is relevant for planning. */
 export interface BatchEndpointView {
   readonly id: string;
+  /** Version of its software. */
+  readonly software: string;
   readonly slots: number;
   readonly memoryTokens: number;
   /** Present weight version of each model. */
@@ -46,11 +48,20 @@
   readonly msPerToken: number;
 }
 
+/** Versions of an engine, as far as a job is concerned. */
+export interface EngineVersions {
+  readonly software: string;
+  /** Version of the weights of the job's model. */
+  readonly weights: number;
+}
+
 /** An open job and what its route and its endpoints determine. */
 export interface JobView {
   readonly state: JobState;
   /** Endpoints of the service that the job's route refers to. */
   readonly endpointIds: ReadonlySet<string>;
+  /** Versions of those of them that can run items. */
+  readonly available: readonly EngineVersions[];
   readonly tokensPerEvent: number;
   /** Time from acceptance to the deadline of the last result, in ms. */
   readonly runDeadlineMs: number;
@@ -246,7 +257,8 @@
   if (load === undefined) return undefined;
   if (load.startsLeft < 1) return undefined;
   load.runs -= 1;
-  if (canRunItem(candidate.job, candidate.item, load.endpoint)) return load;
+  const {job, item, rank} = candidate;
+  if (canRunItem(job, item, load.endpoint, rank)) return load;
   load.runs += 1;
   return undefined;
 }
@@ -271,12 +283,18 @@
 }
 
 /** Returns whether an endpoint may run an item, judging by its service, its
- * weights, and earlier runs of the item there. */
+ * software, its weights, and earlier runs of the item there. A surplus item with
+ * an obsolete text begins again, so that it may run at any software. */
 export function canRunItem(
   job: JobView,
   item: ItemState,
   endpoint: BatchEndpointView,
+  rank?: ItemRank,
 ): boolean {
+  const beginsAgain =
+    rank === 'spare' && isObsolete(item, job.minSurplusVersion);
+  const software = item.events.at(-1)?.software ?? endpoint.software;
+  if (software !== endpoint.software && !beginsAgain) return false;
   // An item that would have to avoid all endpoints avoids none.
   const isAvoided =
     item.avoidedEndpoints.has(endpoint.id) &&
@@ -296,7 +314,7 @@
 ): boolean {
   const {endpoint} = load;
   const hasFreeSlot = load.runs < endpoint.slots && load.startsLeft >= 1;
-  if (!hasFreeSlot || !canRunItem(job, item, endpoint)) return false;
+  if (!hasFreeSlot || !canRunItem(job, item, endpoint, rank)) return false;
   const version = endpoint.versions.get(job.state.job.model) ?? 0;
   if (rank === 'spare' && version < job.minSurplusVersion) return false;
   const limit = endpoint.memoryTokens * MEMORY_SHARE;
--- a/packages/core/src/testing/plan_views.ts
+++ b/packages/core/src/testing/plan_views.ts
@@ -6,6 +6,7 @@
   return {
     state: JobState.create(job, 0),
     endpointIds: new Set(['x']),
+    available: [{software: 's', weights: 1}],
     tokensPerEvent: 57,
     runDeadlineMs: 7_500,
     minSurplusVersion: 1,
@@ -19,6 +20,7 @@
 ): BatchEndpointView {
   return {
     id: 'x',
+    software: 's',
     slots: 12,
     memoryTokens: 40_000,
     versions: new Map([['m', 1]]),
