Take a stream up again only where it began

A caller that takes a stream up again names the attempt that began it. The call went to any endpoint of the service: of twelve streams at four engines of two software versions, several went on at the other version, and one of unknown beginning went on anywhere (resumed_streams.test.ts, both tests failed before).

No node knew where a stream had begun.

Change: before an entry passes a stream on, it tells the three entries that keep its origin (rendezvous by the id of the call); a call that takes a stream up asks them and is placed only at that service and software. Unknown: refused at once as not run (stream-unknown).

Weighed: the store, a write for each stream, not available in outages; keeping it at the one entry, lost when that is killed, which is when streams are taken up.

After: both tests pass.

--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -4,7 +4,6 @@
  * latest at its deadline.
  */
 import {
-  AttemptEnd,
   CallProgress,
   Clock,
   EndpointDirectory,
@@ -12,17 +11,23 @@
   EndpointSelector,
   Quarantine,
   RandomSource,
+  Route,
   RouteBurnTracker,
   ServiceError,
+  StreamOrigin,
   computeHedgeDelay,
   createError,
   decideAfterAttempt,
-  hashText,
   pickTarget,
 } from '@sassafrasspan/core';
 import type {RateGate} from '@sassafrasspan/limits';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
+import {
+  computeFingerprint,
+  describeEnd,
+  describeReason,
+} from './attempt_descriptions';
 import {CallPlacement} from './call_placement';
 import type {
   EndpointAnswer,
@@ -55,13 +60,25 @@
     return new CallForwarder(options);
   }
 
-  /** Forwards a call and records its outcome in log, metrics and burn rate. */
-  async forward(matched: MatchedCall): Promise<CallResult> {
+  /** Forwards a call, if `origin` is given only to endpoints like it, and records
+   * its outcome in log, metrics and burn rate. */
+  async forward(
+    matched: MatchedCall,
+    origin?: StreamOrigin,
+  ): Promise<CallResult> {
     const {route} = matched;
     const startedAtMs = this.options.clock.readMonotonicMs();
-    const service = pickTarget(route, this.options.random);
+    const service =
+      origin === undefined
+        ? pickTarget(route, this.options.random)
+        : findTarget(route, origin.service);
     const fingerprint = computeFingerprint(matched.call);
-    const result = await this.run(matched, service, fingerprint);
+    const result = await this.run(
+      matched,
+      service,
+      fingerprint,
+      origin?.software,
+    );
     const tookMs = this.options.clock.readMonotonicMs() - startedAtMs;
     this.recordResult(matched, result, tookMs);
     return result;
@@ -71,6 +88,7 @@
     matched: MatchedCall,
     service: string | undefined,
     fingerprint: string,
+    software: string | undefined,
   ): Promise<CallResult> {
     const {route} = matched;
     if (service === undefined) {
@@ -80,11 +98,14 @@
     if (this.options.quarantine.isQuarantined(fingerprint)) {
       return err(createError('crash-suspect', `fingerprint ${fingerprint}`));
     }
+    const {options} = this;
+    const placement = CallPlacement.create(options, service, software);
     return PendingCall.create(
-      this.options,
+      options,
       matched,
       service,
       fingerprint,
+      placement,
     ).run();
   }
 
@@ -145,6 +166,7 @@
     matched: MatchedCall,
     service: string,
     fingerprint: string,
+    placement: CallPlacement,
   ): PendingCall {
     const nowMs = options.clock.readMonotonicMs();
     const {call, route} = matched;
@@ -154,7 +176,7 @@
       matched,
       service,
       fingerprint,
-      CallPlacement.create(options, service),
+      placement,
       endsAtMs,
     );
   }
@@ -229,7 +251,9 @@
     const nowMs = clock.readMonotonicMs();
     this.recordReply(endpoint, reply, nowMs - startedAtMs, nowMs);
     this.recordLimit(endpoint, reply, startedAtMs);
-    if (reply.type === 'answered') call.onAnswered?.(reply.answer.status);
+    if (reply.type === 'answered') {
+      call.onAnswered?.(reply.answer.status, endpoint);
+    }
     if (!this.isOver) this.recordSuspicion(endpoint, reply);
     if (!this.isOver) this.handleReply(endpoint, reply);
   }
@@ -367,25 +391,7 @@
   }
 }
 
-/** Returns the same fingerprint for calls with the same request. */
-function computeFingerprint(call: MatchedCall['call']): string {
-  const {method, host, target, body} = call;
-  const text = `${method} ${host}${target} ${body.toString('latin1')}`;
-  return `${hashText(text).toString(16)}-${body.length}`;
-}
-
-function describeEnd(reply: AttemptOutcome): AttemptEnd {
-  switch (reply.type) {
-    case 'answered':
-      return {type: 'answered', status: reply.answer.status};
-    case 'not-run':
-      return {type: 'not-run', isFull: reply.reason === 'full'};
-    default:
-      return {type: 'lost', hadBytes: reply.hadBytes};
-  }
-}
-
-function describeReason(reply: AttemptOutcome): string {
-  if (reply.type === 'answered') return `status ${reply.answer.status}`;
-  return reply.type === 'not-run' ? reply.reason : reply.detail;
+/** Returns a service if the route refers to it. */
+function findTarget(route: Route, service: string): string | undefined {
+  return route.targets.find(target => target.service === service)?.service;
 }
--- a/packages/calls/src/call_placement.ts
+++ b/packages/calls/src/call_placement.ts
@@ -28,10 +28,16 @@
   private constructor(
     private readonly options: CallPlacementOptions,
     private readonly service: string,
+    /** The only software version that may be called; undefined for any. */
+    private readonly software: string | undefined,
   ) {}
 
-  static create(options: CallPlacementOptions, service: string): CallPlacement {
-    return new CallPlacement(options, service);
+  static create(
+    options: CallPlacementOptions,
+    service: string,
+    software?: string,
+  ): CallPlacement {
+    return new CallPlacement(options, service, software);
   }
 
   /** Returns the number of attempts that were placed. */
@@ -75,9 +81,8 @@
   /** Describes the denials, with the time after which to try again; undefined if
    * no limit has denied the call. */
   explainDenial(): ServiceError | undefined {
-    const {endpoints, rateGate} = this.options;
-    const denying = endpoints
-      .listUsable(this.service)
+    const {rateGate} = this.options;
+    const denying = this.listAllowed()
       .map(({id}) => id)
       .filter(id => this.denied.has(id) || rateGate.isDenied(id));
     if (denying.length === 0) return undefined;
@@ -91,9 +96,15 @@
   }
 
   private listUntried(): EndpointEntry[] {
-    const {endpoints, rateGate} = this.options;
-    return endpoints
-      .listUsable(this.service)
-      .filter(({id}) => !this.tried.has(id) && !rateGate.isDenied(id));
+    const {rateGate} = this.options;
+    return this.listAllowed().filter(
+      ({id}) => !this.tried.has(id) && !rateGate.isDenied(id),
+    );
+  }
+
+  private listAllowed(): EndpointEntry[] {
+    const usable = this.options.endpoints.listUsable(this.service);
+    if (this.software === undefined) return usable;
+    return usable.filter(({software}) => software === this.software);
   }
 }
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -1,5 +1,10 @@
 /** Routed calls and their answers, independent of any wire format. */
-import type {EndpointEntry, Route, ReportedLoad} from '@sassafrasspan/core';
+import type {
+  EndpointEntry,
+  ReportedLoad,
+  Route,
+  StreamOrigin,
+} from '@sassafrasspan/core';
 
 /** Headers by name, in the sender's letter case. */
 export type HeaderFields = Readonly<Record<string, string | readonly string[]>>;
@@ -22,9 +27,11 @@
   /** Whether a second endpoint may be called while the first is slow; true by
    * default. */
   readonly mayHedge?: boolean;
+  /** Id of the call that began the stream which this one takes up. */
+  readonly resumes?: string;
   /** Called with the status of each complete answer, also of those after which
-   * the call is retried. */
-  readonly onAnswered?: (status: number) => void;
+   * the call is retried, and where it was made. */
+  readonly onAnswered?: (status: number, origin: StreamOrigin) => void;
 }
 
 /** A complete answer of an endpoint, passed on to the caller unchanged. */
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -26,6 +26,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {CallForwarder, CallResult} from './call_forwarder';
 import type {EndpointCaller, RoutedCall} from './call_types';
+import {StreamForwarder} from './stream_forwarder';
 import {SuspicionBroadcaster} from './suspicion_broadcaster';
 
 /** Age of the configuration up to which a missing route is reported as such, in
@@ -74,6 +75,7 @@
   private readonly forwarder: CallForwarder;
   private readonly broadcaster: SuspicionBroadcaster;
   private readonly rates: EndpointRates;
+  private readonly streams: StreamForwarder;
   private isDraining = false;
 
   private constructor(private readonly options: EntryRoleOptions) {
@@ -105,6 +107,8 @@
       metrics,
       burn,
     });
+    const {forwarder} = this;
+    this.streams = StreamForwarder.create({...options, forwarder});
   }
 
   static create(options: EntryRoleOptions): EntryRole {
@@ -119,7 +123,11 @@
 
   /** Returns handlers for the calls of other entries. */
   createRoutes(): PeerRoutes {
-    return {...this.broadcaster.createRoutes(), ...this.rates.createRoutes()};
+    return {
+      ...this.broadcaster.createRoutes(),
+      ...this.rates.createRoutes(),
+      ...this.streams.createRoutes(),
+    };
   }
 
   /** Returns whether the load balancer should send requests. */
@@ -173,7 +181,9 @@
   }
 
   forward(call: RoutedCall, matched: MatchedRoute): Promise<CallResult> {
-    return this.forwarder.forward({call, ...matched});
+    const isStream = matched.route.kind === 'streaming';
+    const forwarder = isStream ? this.streams : this.forwarder;
+    return forwarder.forward({call, ...matched});
   }
 
   /**
--- a/packages/core/src/errors/error_kinds.ts
+++ b/packages/core/src/errors/error_kinds.ts
@@ -174,6 +174,12 @@
     retryAfterMs: RETRY_LATER_MS,
     summary: 'Every endpoint that may run the request is busy.',
   },
+  'stream-unknown': {
+    status: 503,
+    outcome: 'not-run',
+    retryAfterMs: RETRY_SOON_MS,
+    summary: 'It is unknown which software version began the stream.',
+  },
   'rate-limited': {
     status: 503,
     outcome: 'not-run',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export * from './calls/call_attempts';
 export * from './calls/configuration';
 export * from './calls/endpoint_selector';
+export * from './calls/stream_origins';
 export * from './fleet/endpoint_directory';
 export * from './batch/batch_types';
 export * from './batch/carry_over';
