Go on placing items under which endpoints crashed

Report: in a burst of crashes several servers died under one sound item of a batch, which was never placed again. It could happen here: after interruptions at five endpoints, or eight in a row, without a new event, an item was left out of every later plan (isSuspect), also in a later job with the same item.

Items that are handed in for later do not crash servers by themselves, so the exclusion has no load that it answers. It is removed, and with it the list of endpoints that broke an item; what remains are 20 ms between the first three starts, 1.5 s between later ones, and endpoints that broke it avoided for 4 s.

--- a/packages/core/src/batch/carry_over.ts
+++ b/packages/core/src/batch/carry_over.ts
@@ -31,8 +31,6 @@
   readonly length: ObservedLength | undefined;
   /** Oldest weight version that its job allowed. */
   readonly minVersion: number;
-  /** Endpoints that interrupted its runs before a new event. */
-  readonly breakingEndpoints: ReadonlySet<string>;
   /** Call that obtained the score of the result, if it has one. */
   readonly scoringCall: ScoringCall | undefined;
 }
@@ -41,7 +39,6 @@
 interface SavedItemDetails {
   readonly length?: ObservedLength;
   readonly minVersion: number;
-  readonly breakingEndpoints?: ReadonlySet<string>;
   readonly scoringCall?: ScoringCall;
 }
 
@@ -92,7 +89,6 @@
     this.storeItem(id, result ?? events, {
       length: state.observedLength,
       minVersion,
-      breakingEndpoints: state.breakingEndpoints,
       scoringCall: state.item.scoringCall,
     });
   }
@@ -146,7 +142,6 @@
       this.items.delete(id);
       if (saved !== undefined) {
         item.observedLength = saved.length;
-        item.breakingEndpoints = new Set(saved.breakingEndpoints);
         if (saved.result === undefined) state.restoreText(id, saved.events);
         else state.restoreResult(saved.result, saved.scoringCall, nowMs);
       }
@@ -216,12 +211,10 @@
   details: SavedItemDetails,
 ): SavedItem {
   const {length, minVersion, scoringCall} = details;
-  const {breakingEndpoints = new Set()} = details;
   const base = {
     result: undefined,
     events: [],
     minVersion,
-    breakingEndpoints,
     scoringCall,
   };
   if (!('state' in output)) {
--- a/packages/core/src/batch/item_state.ts
+++ b/packages/core/src/batch/item_state.ts
@@ -5,13 +5,6 @@
 import type {JobItem, JobResult, TextEvent} from './batch_types';
 import type {ItemScoring} from './item_scoring';
 
-/** An item is suspected of crashing endpoints once this many endpoints have
- * interrupted it without a new event. */
-const MAX_BREAKING_ENDPOINTS = 5;
-/** It is also suspected after this many such interruptions in a row, for services
- * with few endpoints. */
-const MAX_BREAKS = 8;
-
 /** The present run of an item. */
 export interface ItemRun {
   /** Unique among the runs of all items. */
@@ -49,23 +42,14 @@
   retryAtMs: number;
   /** Number of failed attempts. */
   failures: number;
-  /** Interruptions since the last event, and the endpoints where they occurred. */
+  /** Interruptions since the last event. */
   consecutiveBreaks: number;
-  breakingEndpoints: Set<string>;
   /** Endpoints where it must not start, and the times until which this holds. */
   readonly avoidedEndpoints: Map<string, number>;
   /** Time of the last event, or of the start of the present run if later. */
   lastEventAtMs: number;
 }
 
-/** Returns whether an item is suspected of crashing the endpoints that run it. */
-export function isSuspect(state: ItemState): boolean {
-  return (
-    state.breakingEndpoints.size >= MAX_BREAKING_ENDPOINTS ||
-    state.consecutiveBreaks >= MAX_BREAKS
-  );
-}
-
 /** Returns whether the text of an item begins with an older version. */
 export function isObsolete(state: ItemState, minVersion: number): boolean {
   const first = state.events[0];
@@ -86,7 +70,6 @@
     retryAtMs: 0,
     failures: 0,
     consecutiveBreaks: 0,
-    breakingEndpoints: new Set(),
     avoidedEndpoints: new Map(),
     lastEventAtMs: 0,
   };
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -31,8 +31,8 @@
 /** Number of events by which a run reported by an agent must be ahead of the
  * item's present run to replace it: about 200 ms of generation. */
 const MIN_LEAD_EVENTS = 5;
-/** From this many such interruptions in a row on, the item is retried only after
- * a longer delay, since it may have crashed an endpoint each time. */
+/** From this many interruptions in a row on without a new event, the item is retried
+ * only after a longer delay: endpoints probably crash one after the other. */
 const BREAKS_BEFORE_DELAY = 3;
 /** That delay, in ms: an endpoint restarts within seconds of a crash. */
 const REPEATED_BREAK_DELAY_MS = 1_500;
@@ -210,7 +210,6 @@
     state.events.push(...fresh);
     state.lastEventAtMs = nowMs;
     state.consecutiveBreaks = 0;
-    state.breakingEndpoints.clear();
     return true;
   }
 
@@ -241,7 +240,6 @@
         settleItem(state, createDeadResult(itemId), nowMs);
       }
     } else if (end === 'broken' && !hasProgress) {
-      state.breakingEndpoints.add(endpointId);
       state.avoidedEndpoints.set(endpointId, nowMs + AVOID_BROKEN_MS);
       state.consecutiveBreaks += 1;
       const isDelayed = state.consecutiveBreaks >= BREAKS_BEFORE_DELAY;
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -10,7 +10,7 @@
  * earliest to meet its deadline starts first, so that no long item starts only
  * when the others end.
  */
-import {ItemState, isObsolete, isSuspect} from './item_state';
+import {ItemState, isObsolete} from './item_state';
 import {JobState, GroupState} from './job_state';
 import {predictMemory, predictRemainingTokens} from './length_forecast';
 import {RunMemory, computePeakMemory} from './memory_forecast';
@@ -185,12 +185,7 @@
   const wanted = selectWantedGroups(job);
   return job.state.groups.flatMap(group =>
     group.items
-      .filter(
-        item =>
-          item.phase === 'waiting' &&
-          item.retryAtMs <= nowMs &&
-          !isSuspect(item),
-      )
+      .filter(item => item.phase === 'waiting' && item.retryAtMs <= nowMs)
       .map(item => ({
         job,
         item,
@@ -233,7 +228,6 @@
   let longest = 0;
   for (const item of group.items) {
     if (item.phase !== 'waiting' && item.phase !== 'running') continue;
-    if (isSuspect(item)) return Infinity;
     const remaining = predictRemainingTokens(item, job.tokensPerEvent);
     longest = Math.max(longest, remaining);
   }
