Never refuse scoring calls because endpoints crashed under them

The same cause as of the items that were never placed again: after three lost attempts at different endpoints a scoring call was quarantined by its coordinator for good, so that its item got no score and was dead after its retention time.

A call for an item does not crash endpoints by itself. The quarantine of a forwarder is optional now, and the coordinator's has none; its pauses between scoring calls (60 ms doubling to 1 s) remain. The quarantine of callers' requests is unchanged.

Test: call_forwarder.test.ts, failed before with crash-suspect at the third call.

--- a/packages/calls/src/call_forwarder.test.ts
+++ b/packages/calls/src/call_forwarder.test.ts
@@ -102,7 +102,8 @@
   options: {
     endpoints?: number;
     maxAttempts?: number;
-    quarantine?: Quarantine;
+    /** `none`: no call is quarantined. */
+    quarantine?: Quarantine | 'none';
     /** Index of the first endpoint, used in the endpoints' ids. */
     firstIndex?: number;
     /** Limits that endpoints have stated, by id. */
@@ -121,7 +122,7 @@
   const forwarder = CallForwarder.create({
     endpoints: directory,
     pool: EndpointSelector.create('a', drawHalf),
-    quarantine,
+    quarantine: quarantine === 'none' ? undefined : quarantine,
     rateGate: createRateGate(limits),
     caller: {
       callEndpoint: (endpoint, _call, _leftMs, signal) => {
@@ -225,6 +226,17 @@
   ]);
 });
 
+test('a call for an item is refused because endpoints crashed under it', async () => {
+  const send = (firstIndex: number) =>
+    forward('idempotent', ['lost', 'lost'], {quarantine: 'none', firstIndex});
+  const results = [await send(0), await send(10), await send(20)];
+  expect(results.map(({result}) => result)).toEqual([
+    'endpoint-failed',
+    'endpoint-failed',
+    'endpoint-failed',
+  ]);
+});
+
 test('an answer clears the suspicion of a request', async () => {
   const quarantine = Quarantine.create(3);
   await forward('idempotent', ['lost', 'ok'], {quarantine});
--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -42,8 +42,9 @@
   readonly caller: EndpointCaller;
   /** Limits that endpoints state. */
   readonly rateGate: RateGate;
-  /** Requests that may crash the endpoints that run them. */
-  readonly quarantine: Quarantine;
+  /** Requests that may crash the endpoints that run them; undefined if no call
+   * of this forwarder does. */
+  readonly quarantine?: Quarantine;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
@@ -95,7 +96,7 @@
       const detail = `route ${route.name} has no service`;
       return err(createError('no-endpoint', detail));
     }
-    if (this.options.quarantine.isQuarantined(fingerprint)) {
+    if (this.options.quarantine?.isQuarantined(fingerprint)) {
       return err(createError('crash-suspect', `fingerprint ${fingerprint}`));
     }
     const {options} = this;
@@ -304,6 +305,7 @@
     reply: AttemptOutcome,
   ): void {
     const {quarantine, log} = this.options;
+    if (quarantine === undefined) return;
     if (reply.type === 'answered') return quarantine.clear(this.fingerprint);
     if (reply.type !== 'lost' || reply.hadBytes) return;
     const quarantined = quarantine.implicate([this.fingerprint], endpoint.id);
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -10,7 +10,6 @@
   CoordinatorRecord,
   EndpointSelector,
   JobBounds,
-  Quarantine,
   RandomSource,
   RouteBurnTracker,
   BatchEndpointRegistration,
@@ -52,8 +51,6 @@
 
 /** Delay before a failed read of the stored jobs is retried, in ms. */
 const START_RETRY_MS = 150;
-/** Number of endpoints that a scoring call may crash before it is held back. */
-const MAX_CRASHES = 3;
 
 export interface CoordinatorRoleOptions {
   readonly name: string;
@@ -211,7 +208,6 @@
         endpoints,
         rateGate: this.rates.gate,
         pool: EndpointSelector.create(failureDomain, random),
-        quarantine: Quarantine.create(MAX_CRASHES),
       }),
       endpoints,
       getTable: () => this.fleet.getTable(),
--- a/packages/jobs/src/scoring_caller.ts
+++ b/packages/jobs/src/scoring_caller.ts
@@ -1,6 +1,6 @@
 /**
- * Sends scoring calls through the routes in force, with the endpoint choice,
- * retries and quarantine of all routed calls.
+ * Sends scoring calls through the routes in force, with the endpoint choice and
+ * retries of all routed calls.
  */
 import {
   CallForwarder,
