Break off answers without end

Endpoints in trouble may send bytes without end, in a head or a body, until the caller closes the connection. A routed call buffered such a body until its deadline, a run kept an event or the body of a refusal without end, and interim responses (1xx) went on until the timeout.

Cause: only time bounded what a response may hold, and after the headers of a run not even that. Class: input of another system without a bound on its size.

--- a/packages/runtime/src/event_stream.ts
+++ b/packages/runtime/src/event_stream.ts
@@ -5,6 +5,9 @@
  */
 import {StringDecoder} from 'node:string_decoder';
 
+/** Maximum size of an event, in characters. */
+const MAX_EVENT_CHARACTERS = 1_048_576;
+
 /** One server-sent event. */
 export interface StreamEvent {
   /** Value of the `id` field, if present. */
@@ -39,6 +42,11 @@
     }
   }
 
+  /** Returns whether the present event is longer than any may be. */
+  isOversized(): boolean {
+    return this.pending.length > MAX_EVENT_CHARACTERS;
+  }
+
   /** Returns whether the bytes read so far end inside an event. */
   isPartial(): boolean {
     return this.pending.trim() !== '';
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -12,9 +12,14 @@
 } from 'node:http';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
+import {waitForEnd} from './http_response_end';
 
 /** Time to open a connection: several round trips between regions. */
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
+/** Maximum size of a buffered response body, in bytes. */
+const DEFAULT_MAX_BODY_BYTES = 67_108_864;
+/** Maximum number of interim responses (1xx) before a response. */
+const MAX_INTERIM_RESPONSES = 8;
 /** Idle connections kept open per peer. */
 const MAX_FREE_SOCKETS = 32;
 /** Idle time after which the kernel sends TCP keep-alive probes. */
@@ -37,6 +42,9 @@
   readonly timeoutMs: number;
   /** Limit for connecting; `DEFAULT_CONNECT_TIMEOUT_MS` by default. */
   readonly connectTimeoutMs?: number;
+  /** Maximum size of a buffered response body, beyond which the call fails as
+   * `broken`; `DEFAULT_MAX_BODY_BYTES` by default. */
+  readonly maxBodyBytes?: number;
   /**
    * Whether the call may be retried once, on a new connection, when a reused
    * one breaks before any response: peers may close idle connections at any
@@ -149,9 +157,17 @@
         resolve(err(failure)),
       );
       activeCall.start(message => {
+        const {maxBodyBytes = DEFAULT_MAX_BODY_BYTES} = call;
         const chunks: Buffer[] = [];
-        message.on('data', (chunk: Buffer) => chunks.push(chunk));
-        waitForEnd(message, activeCall, () => {
+        let size = 0;
+        message.on('data', (chunk: Buffer) => {
+          chunks.push(chunk);
+          size += chunk.length;
+          if (size <= maxBodyBytes) return;
+          chunks.length = 0;
+          activeCall.fail('broken', `body of over ${maxBodyBytes} bytes`);
+        });
+        waitForEnd(message, activeCall.handleReset, () => {
           activeCall.finish();
           resolve(
             ok({
@@ -183,7 +199,7 @@
       activeCall.start(message => {
         isOpen = true;
         activeCall.stopTimers();
-        waitForEnd(message, activeCall, () => {
+        waitForEnd(message, activeCall.handleReset, () => {
           activeCall.finish();
           listener.onComplete();
         });
@@ -225,48 +241,6 @@
   return failure.reason === 'broken' && failure.isReused && !failure.isAnswered;
 }
 
-/** Returns whether closing the connection marks the end of a response. */
-function isDelimitedByClose(message: IncomingMessage): boolean {
-  const {headers} = message;
-  return (
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined
-  );
-}
-
-/**
- * Calls back once the complete response has arrived. If a response is delimited
- * by the end of the connection, Node also reports a reset right after the last
- * bytes as an end. Writing an empty line distinguishes the two, because the
- * write fails after a reset.
- */
-function waitForEnd(
-  message: IncomingMessage,
-  activeCall: ActiveCall,
-  onComplete: () => void,
-): void {
-  let hasEnded = false;
-  let isConfirmed = !isDelimitedByClose(message);
-  const finish = () => {
-    if (hasEnded && isConfirmed) onComplete();
-  };
-  message.on('end', () => {
-    hasEnded = message.complete;
-    finish();
-  });
-  if (isConfirmed) return;
-  // Must run before Node's own listener, which closes the writable side.
-  message.socket.prependOnceListener('end', () => {
-    message.socket.write('\r\n', error => {
-      if (error) {
-        return activeCall.fail('broken', 'connection reset instead of closed');
-      }
-      isConfirmed = true;
-      finish();
-    });
-  });
-}
-
 /** State and timers of one call until it finishes or fails. */
 class ActiveCall {
   private readonly request: ClientRequest;
@@ -309,6 +283,12 @@
   start(onResponse: (message: IncomingMessage) => void): void {
     const {body, signal, timeoutMs} = this.options;
     this.request.on('socket', socket => this.watchConnect(socket));
+    let interimResponses = 0;
+    this.request.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses <= MAX_INTERIM_RESPONSES) return;
+      this.fail('broken', 'interim responses without end');
+    });
     this.request.on('error', error => this.failWithError(error));
     this.request.on('response', message => {
       if (this.options.isExpectedResponse?.(message.headers) === false) {
@@ -362,6 +342,8 @@
     this.options.signal?.removeEventListener('abort', this.cancel);
   }
 
+  readonly handleReset = (detail: string) => this.fail('broken', detail);
+
   private failWithError(error: NodeJS.ErrnoException): void {
     const isRefused = error.code === 'ECONNREFUSED' || !this.isSent;
     this.fail(isRefused ? 'refused' : 'broken', error.message);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -12,6 +12,7 @@
 export * from './settings_expectations';
 export * from './undici_errors';
 export * from './http_client';
+export {dropBody} from './http_response_end';
 export * from './bounded_output';
 export * from './event_stream';
 export * from './waiters';
