Keep restored texts until engines are back after an outage

Found by reading: after a takeover in which no agent, or none of a text's software, had reported within 300 ms (a loss of all nodes), texts restored from the checkpoint were taken for orphaned at once, since they had no time of a last event, and began again.

A text is orphaned only while another engine could run it, and its wait begins when it is restored.

An entry waits for the first keeper of a stream's origin only, so that a silent one does not delay the stream.

--- a/packages/calls/src/stream_forwarder.ts
+++ b/packages/calls/src/stream_forwarder.ts
@@ -99,17 +99,24 @@
     this.origins.record(callId, origin, nowMs);
   }
 
+  /** Resolves once one other entry keeps the origin, or none can. */
   private async recordOrigin(
     callId: string,
     origin: StreamOrigin,
   ): Promise<void> {
     this.recordLocally(callId, origin);
     const body = {callId, origin};
-    await Promise.all(
-      this.listOtherKeepers(callId).map(node =>
-        this.callEntry(node, PATHS.record, body, DONE_SCHEMA),
-      ),
+    const replies = this.listOtherKeepers(callId).map(node =>
+      this.callEntry(node, PATHS.record, body, DONE_SCHEMA),
     );
+    await new Promise<void>(resolve => {
+      for (const reply of replies) {
+        void reply.then(recorded => {
+          if (recorded.isOk()) resolve();
+        });
+      }
+      void Promise.all(replies).then(() => resolve());
+    });
   }
 
   /** Returns the first origin that this entry or another one knows. */
--- a/packages/core/src/batch/carry_over.ts
+++ b/packages/core/src/batch/carry_over.ts
@@ -142,13 +142,14 @@
       this.items.delete(id);
       if (saved !== undefined) {
         item.observedLength = saved.length;
-        if (saved.result === undefined) state.restoreText(id, saved.events);
-        else state.restoreResult(saved.result, saved.scoringCall, nowMs);
+        if (saved.result === undefined) {
+          state.restoreText(id, saved.events, nowMs);
+        } else state.restoreResult(saved.result, saved.scoringCall, nowMs);
       }
       const run = this.runsByItem.get(id);
       if (run === undefined) continue;
       this.removeRun(run);
-      const isUsed = state.restoreText(id, run.events);
+      const isUsed = state.restoreText(id, run.events, nowMs);
       if (isUsed) reusable.push(run);
       else obsolete.push(run);
     }
--- a/packages/core/src/batch/item_state.ts
+++ b/packages/core/src/batch/item_state.ts
@@ -46,7 +46,8 @@
   consecutiveBreaks: number;
   /** Endpoints where it must not start, and the times until which this holds. */
   readonly avoidedEndpoints: Map<string, number>;
-  /** Time of the last event, or of the start of the present run if later. */
+  /** Time of the last event, or of the start of the present run or of the
+   * restoration of the text if later. */
   lastEventAtMs: number;
 }
 
--- a/packages/core/src/batch/job_state.ts
+++ b/packages/core/src/batch/job_state.ts
@@ -105,11 +105,16 @@
 
   /** Restores text of an item from an earlier run. Returns false when the item
    * does not wait or the versions of the text are not allowed. */
-  restoreText(itemId: string, events: readonly TextEvent[]): boolean {
+  restoreText(
+    itemId: string,
+    events: readonly TextEvent[],
+    nowMs: number,
+  ): boolean {
     const state = this.items.get(itemId);
     const isWaiting = state?.phase === 'waiting';
     if (!isWaiting || !this.hasAllowedVersions(events)) return false;
     state.events = [...events];
+    state.lastEventAtMs = nowMs;
     return true;
   }
 
@@ -140,7 +145,8 @@
     nowMs: number,
   ): boolean {
     const state = this.items.get(itemId);
-    if (state === undefined || !this.restoreText(itemId, events)) return false;
+    if (state === undefined) return false;
+    if (!this.restoreText(itemId, events, nowMs)) return false;
     const result = createCompletedResult(itemId, events);
     settleItem(state, {...result, score}, nowMs);
     return true;
--- a/packages/core/src/batch/orphaned_texts.ts
+++ b/packages/core/src/batch/orphaned_texts.ts
@@ -21,6 +21,7 @@
   const {phase, events} = item;
   const last = events.at(-1);
   if (phase !== 'waiting' || last === undefined) return false;
+  if (job.available.length === 0) return false;
   const canContinue = job.available.some(
     ({software, weights}) =>
       software === last.software && weights >= last.version,
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -95,6 +95,6 @@
     if (jobId !== state.job.id || events.length <= knownEvents) continue;
     const text = decodeEvents(events, software);
     if (isComplete) state.restoreCompleteText(itemId, text, score, nowMs);
-    else state.restoreText(itemId, text);
+    else state.restoreText(itemId, text, nowMs);
   }
 }
--- a/packages/jobs/src/checkpoint_writer.test.ts
+++ b/packages/jobs/src/checkpoint_writer.test.ts
@@ -26,7 +26,7 @@
     version: 1,
     software: 's',
   }));
-  for (const itemId of state.items.keys()) state.restoreText(itemId, text);
+  for (const itemId of state.items.keys()) state.restoreText(itemId, text, 0);
   return state;
 }
 
