--- a/packages/bench/src/slopes/decision_costs.ts
+++ b/packages/bench/src/slopes/decision_costs.ts
@@ -1,16 +1,18 @@
 /**
- * Processor time and heap of routing, rules and step planning at several
- * sizes, measured in this process.
+ * Processor time and heap of routing, rules, step planning and the limits that
+ * endpoints state, at several sizes, measured in this process.
  */
 import {
   AttributedRule,
   EndpointTracker,
   FleetView,
+  RateKeeper,
   ROLLOUT_POLICIES,
   RuleSet,
   StepState,
   chooseEndpoint,
   createRandomSource,
+  rankKeepers,
 } from '@sassafrasspan/core';
 import {
   CostMeasurement,
@@ -20,6 +22,7 @@
 
 const POOL_SIZES = [8, 60, 240];
 const RULE_COUNTS = [10, 100, 1_000];
+const ENTRY_COUNTS = [8, 60, 350];
 const STEP_SLOTS = [512, 2_048, 4_096];
 const REPEATS = 2_000;
 const PLAN_REPEATS = 20;
@@ -151,11 +154,25 @@
   return {name: 'plan of an open step', size, figures: {cpuUs, heapBytes}};
 }
 
+/** Measures what a keeper of a limit does for one request for a send. */
+function measureKeeping(entryCount: number): CostMeasurement {
+  const names = Array.from({length: entryCount}, (_, n) => `entry-${n}`);
+  const keeper = RateKeeper.create();
+  const cpuUs = measureCpuUs(REPEATS, index => {
+    const endpointId = `endpoint-${index % SLOTS}`;
+    const request = {endpointId, perSecond: 10, rank: 0, wanted: 1};
+    rankKeepers(endpointId, names);
+    keeper.grantSends(request, index);
+  });
+  return {name: 'grant of a send', size: entryCount, figures: {cpuUs}};
+}
+
 /** Measures every decision at each of its sizes. */
 export function measureDecisions(): CostMeasurement[] {
   return [
     ...POOL_SIZES.map(measureRouting),
     ...RULE_COUNTS.map(measureRules),
     ...STEP_SLOTS.map(measureStep),
+    ...ENTRY_COUNTS.map(measureKeeping),
   ];
 }
