Log streams that are refused, and ask keepers of origins at once

stream-unknown was in no log line and no metric; a silent keeper delayed a stream that is taken up by 150 ms.

--- a/packages/calls/src/stream_forwarder.ts
+++ b/packages/calls/src/stream_forwarder.ts
@@ -5,6 +5,7 @@
  */
 import {
   Clock,
+  ServiceError,
   StreamOrigin,
   StreamOrigins,
   createError,
@@ -17,7 +18,7 @@
   RegisteredNode,
   createHandler,
 } from '@sassafrasspan/peers';
-import {parseAddress} from '@sassafrasspan/runtime';
+import {EventLog, Metrics, parseAddress} from '@sassafrasspan/runtime';
 import {err, ok} from 'neverthrow';
 import * as z from 'zod/mini';
 import type {CallForwarder, CallResult} from './call_forwarder';
@@ -43,6 +44,8 @@
   readonly peers: PeerClient;
   readonly forwarder: CallForwarder;
   readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
 }
 
 export class StreamForwarder {
@@ -73,9 +76,9 @@
     const {forwarder} = this.options;
     if (call.resumes !== undefined) {
       const origin = await this.findOrigin(call.resumes);
-      if (origin !== undefined) return forwarder.forward(matched, origin);
-      const detail = `no entry knows where ${call.resumes} began`;
-      return err(createError('stream-unknown', detail));
+      return origin === undefined
+        ? err(this.refuse(matched))
+        : forwarder.forward(matched, origin);
     }
     let origin: StreamOrigin | undefined;
     const result = await forwarder.forward({
@@ -94,6 +97,17 @@
     return result;
   }
 
+  private refuse({call, route}: MatchedCall): ServiceError {
+    const {log, metrics} = this.options;
+    const detail = `no entry knows where ${call.resumes} began`;
+    const error = createError('stream-unknown', detail);
+    const {kind} = error;
+    metrics.addCount('requests_refused_total', {kind});
+    const fields = {requestId: call.id, route: route.name, kind, detail};
+    log.writeEvent('request-refused', fields);
+    return error;
+  }
+
   private recordLocally(callId: string, origin: StreamOrigin): void {
     const nowMs = this.options.clock.readMonotonicMs();
     this.origins.record(callId, origin, nowMs);
@@ -109,29 +123,19 @@
     const replies = this.listOtherKeepers(callId).map(node =>
       this.callEntry(node, PATHS.record, body, DONE_SCHEMA),
     );
-    await new Promise<void>(resolve => {
-      for (const reply of replies) {
-        void reply.then(recorded => {
-          if (recorded.isOk()) resolve();
-        });
-      }
-      void Promise.all(replies).then(() => resolve());
-    });
+    await findFirst(replies, reply => (reply.isOk() ? reply : undefined));
   }
 
   /** Returns the first origin that this entry or another one knows. */
   private async findOrigin(callId: string): Promise<StreamOrigin | undefined> {
     const known = this.origins.find(callId);
     if (known !== undefined) return known;
-    const keepers = this.listOtherKeepers(callId);
-    const found = await Promise.all(
-      keepers.map(async node => {
-        const schema = FOUND_SCHEMA;
-        const reply = await this.callEntry(node, PATHS.find, {callId}, schema);
-        return reply.isOk() ? reply.value.origin : undefined;
-      }),
+    const replies = this.listOtherKeepers(callId).map(node =>
+      this.callEntry(node, PATHS.find, {callId}, FOUND_SCHEMA),
+    );
+    return findFirst(replies, reply =>
+      reply.isOk() ? reply.value.origin : undefined,
     );
-    return found.find(origin => origin !== undefined);
   }
 
   private callEntry<T>(
@@ -158,3 +162,18 @@
     );
   }
 }
+
+/** Returns the first value that `select` finds in a reply; undefined once all
+ * replies have come without one. */
+function findFirst<T, V>(
+  replies: ReadonlyArray<Promise<T>>,
+  select: (reply: T) => V | undefined,
+): Promise<V | undefined> {
+  return new Promise(resolve => {
+    const settled = replies.map(async pending => {
+      const value = select(await pending);
+      if (value !== undefined) resolve(value);
+    });
+    void Promise.all(settled).then(() => resolve(undefined));
+  });
+}
