Record limits in one place for entries and agents

The gate of an entry and the keeper beside an engine each turned answers into observations and log events. No behaviour changes; tests as before.

--- a/packages/limits/src/endpoint_rates.ts
+++ b/packages/limits/src/endpoint_rates.ts
@@ -47,9 +47,7 @@
     this.exchange = LimitExchange.create({
       ...options,
       directory: this.directory,
-      onObserved: observation => {
-        this.gate.recordObservation(observation);
-      },
+      onObserved: observation => this.gate.recordObservation(observation),
       listObservations: () => this.gate.listObservations(),
     });
   }
--- a/packages/limits/src/engine_rates.ts
+++ b/packages/limits/src/engine_rates.ts
@@ -2,28 +2,27 @@
  * Keeps the limit that an agent's engine states: for the runs that the agent
  * starts, and for the calls that other nodes send to the engine.
  */
-import {Clock, EndpointLimits, RateKeeper} from '@sassafrasspan/core';
+import {RateKeeper} from '@sassafrasspan/core';
 import {PeerRoutes, createHandler} from '@sassafrasspan/peers';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {ok} from 'neverthrow';
 import {GRANT_REQUEST_SCHEMA, LIMIT_PATHS} from './limit_messages';
-import type {LimitedAnswer} from './rate_gate';
-
-export interface EngineRatesOptions {
-  readonly clock: Clock;
-  readonly log: EventLog;
-  readonly metrics: Metrics;
-}
+import {
+  LimitedAnswer,
+  LoggedLimits,
+  LoggedLimitsOptions,
+} from './logged_limits';
 
 export class EngineRates {
-  private readonly limits = EndpointLimits.create();
+  private readonly limits: LoggedLimits;
   private readonly keeper = RateKeeper.create();
   /** Endpoint id of the engine's present incarnation. */
   private endpointId = '';
 
-  private constructor(private readonly options: EngineRatesOptions) {}
+  private constructor(private readonly options: LoggedLimitsOptions) {
+    this.limits = LoggedLimits.create(options);
+  }
 
-  static create(options: EngineRatesOptions): EngineRates {
+  static create(options: LoggedLimitsOptions): EngineRates {
     return new EngineRates(options);
   }
 
@@ -38,19 +37,7 @@
 
   /** Records the limit in a reply of the engine; returns whether it changed. */
   recordAnswer(answer: LimitedAnswer): boolean {
-    const {endpointId, limit: perSecond, sentAtMs} = answer;
-    const isLimited = perSecond !== undefined;
-    if (isLimited) this.options.metrics.addCount('limited_answers_total');
-    const atMs = isLimited ? this.readMs() : sentAtMs;
-    const change = this.limits.recordObservation({endpointId, perSecond, atMs});
-    const {log} = this.options;
-    if (change === 'unchanged') return false;
-    if (change === 'ended') {
-      log.writeEvent('endpoint-unlimited', {endpoint: endpointId});
-    } else {
-      log.writeEvent('endpoint-limited', {endpoint: endpointId, perSecond});
-    }
-    return true;
+    return this.limits.recordAnswer(answer).change !== 'unchanged';
   }
 
   /** Returns whether a run may be sent to the engine now, and counts it. */
@@ -64,7 +51,7 @@
 
   /** Returns the engine's limit in requests per second, if it states one. */
   getLimit(): number | undefined {
-    return this.limits.find(this.endpointId)?.perSecond;
+    return this.limits.findLimit(this.endpointId);
   }
 
   /** Forgets earlier incarnations of the engine. */
--- a/packages/limits/src/rate_gate.ts
+++ b/packages/limits/src/rate_gate.ts
@@ -6,7 +6,6 @@
 import {
   Clock,
   EndpointEntry,
-  EndpointLimits,
   Grant,
   LimitChange,
   LimitObservation,
@@ -15,6 +14,7 @@
 import type {PeerClient, RegisteredNode} from '@sassafrasspan/peers';
 import {EventLog, Metrics, parseAddress} from '@sassafrasspan/runtime';
 import {GRANT_SCHEMA, LIMIT_PATHS} from './limit_messages';
+import {LimitedAnswer, LoggedLimits} from './logged_limits';
 
 /** Timeout of a question to a keeper, in ms: several round trips. */
 const GRANT_TIMEOUT_MS = 120;
@@ -47,14 +47,6 @@
   readonly onChanged: (observation: LimitObservation) => void;
 }
 
-/** An answer of an endpoint, as far as its limit is concerned. */
-export interface LimitedAnswer {
-  readonly endpointId: string;
-  /** Requests per second; undefined if the answer states no limit. */
-  readonly limit: number | undefined;
-  readonly sentAtMs: number;
-}
-
 /** Sends to one endpoint that wait for a grant. */
 interface PendingSends {
   waiting: Array<(isGranted: boolean) => void>;
@@ -66,12 +58,14 @@
 }
 
 export class RateGate {
-  private readonly limits = EndpointLimits.create();
+  private readonly limits: LoggedLimits;
   private readonly pending = new Map<string, PendingSends>();
   /** Times until which silent keepers are not asked, by name. */
   private readonly silentKeepers = new Map<string, number>();
 
-  private constructor(private readonly options: RateGateOptions) {}
+  private constructor(private readonly options: RateGateOptions) {
+    this.limits = LoggedLimits.create(options);
+  }
 
   static create(options: RateGateOptions): RateGate {
     return new RateGate(options);
@@ -79,27 +73,16 @@
 
   /** Records the limit in an answer, or that it states none. */
   recordAnswer(answer: LimitedAnswer): void {
-    const {endpointId, limit, sentAtMs} = answer;
-    const isLimited = limit !== undefined;
-    if (isLimited) this.options.metrics.addCount('limited_answers_total');
-    const atMs = isLimited ? this.readMs() : sentAtMs;
-    const observation = {endpointId, perSecond: limit, atMs};
-    const change = this.recordObservation(observation);
-    if (change !== 'unchanged') this.options.onChanged(observation);
-  }
-
-  /** Records what this node or another one has observed. */
-  recordObservation(observation: LimitObservation): LimitChange {
-    const {log} = this.options;
-    const {endpointId: endpoint, perSecond} = observation;
+    const {observation, change} = this.limits.recordAnswer(answer);
+    if (change === 'unchanged') return;
+    this.forgetEnded(observation.endpointId, change);
+    this.options.onChanged(observation);
+  }
+
+  /** Records what another node has observed. */
+  recordObservation(observation: LimitObservation): void {
     const change = this.limits.recordObservation(observation);
-    if (change === 'ended') {
-      this.pending.delete(endpoint);
-      log.writeEvent('endpoint-unlimited', {endpoint});
-    } else if (change !== 'unchanged') {
-      log.writeEvent('endpoint-limited', {endpoint, perSecond});
-    }
-    return change;
+    this.forgetEnded(observation.endpointId, change);
   }
 
   /** Lists the limits that are known. */
@@ -108,7 +91,7 @@
   }
 
   isLimited(endpointId: string): boolean {
-    return this.limits.find(endpointId) !== undefined;
+    return this.limits.findLimit(endpointId) !== undefined;
   }
 
   /** Returns whether a send to the endpoint would be denied now. */
@@ -140,10 +123,10 @@
     let earliest: PendingSends | undefined;
     let earliestAtMs = Infinity;
     for (const id of endpointIds) {
-      const limit = this.limits.find(id);
+      const perSecond = this.limits.findLimit(id);
       const sends = this.pending.get(id);
-      if (limit === undefined || sends === undefined) continue;
-      const intervalMs = MS_PER_SECOND / limit.perSecond;
+      if (perSecond === undefined || sends === undefined) continue;
+      const intervalMs = MS_PER_SECOND / perSecond;
       const nextAtMs = Math.max(
         sends.deniedUntilMs,
         sends.returnAtMs + intervalMs,
@@ -166,6 +149,10 @@
     }
   }
 
+  private forgetEnded(endpointId: string, change: LimitChange): void {
+    if (change === 'ended') this.pending.delete(endpointId);
+  }
+
   private readMs(): number {
     return this.options.clock.readMonotonicMs();
   }
@@ -210,7 +197,7 @@
   ): Promise<Grant> {
     const {directory} = this.options;
     for (const [rank, node] of directory.listKeepers(endpoint).entries()) {
-      const perSecond = this.limits.find(endpoint.id)?.perSecond;
+      const perSecond = this.limits.findLimit(endpoint.id);
       if (perSecond === undefined) return {granted: wanted, nextInMs: 0};
       const request = {endpointId: endpoint.id, perSecond, rank, wanted};
       if (directory.isOwn(node)) {
