Authenticate callers by API key and keep customers apart

Cause: a configuration with customers was decoded without them, so that a caller's key was passed on to endpoints and keys that had been withdrawn went on working. Change: keys are held as digests in the configuration; entries decide about each call, remove the key, and state the customer to endpoints; batch jobs, their items and scoring calls carry the customer, and a job of another customer is not found. Retries of the end of a job move to a module of their own.

--- a/packages/calls/src/attempt_descriptions.ts
+++ b/packages/calls/src/attempt_descriptions.ts
@@ -4,8 +4,8 @@
 
 /** Returns the same fingerprint for calls with the same request. */
 export function computeFingerprint(call: MatchedCall['call']): string {
-  const {method, host, target, body} = call;
-  const text = `${method} ${host}${target} ${body.toString('latin1')}`;
+  const {customer = '', method, host, target, body} = call;
+  const text = `${customer} ${method} ${host}${target} ${body.toString('latin1')}`;
   return `${hashText(text).toString(16)}-${body.length}`;
 }
 
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -12,6 +12,8 @@
 export interface RoutedCall {
   readonly id: string;
   readonly host: string;
+  /** Name of the customer that calls; undefined if callers need no API key. */
+  readonly customer?: string;
   readonly method: string;
   /** Path and query. */
   readonly target: string;
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -12,6 +12,7 @@
   RouteTable,
   ServiceError,
   createError,
+  decideAccess,
 } from '@sassafrasspan/core';
 import {EndpointRates} from '@sassafrasspan/limits';
 import type {ClusterWatch, PeerClient, PeerRoutes} from '@sassafrasspan/peers';
@@ -64,6 +65,13 @@
   readonly path: string;
 }
 
+/** What identifies the caller of a request. */
+export interface CallerCredentials {
+  readonly id: string;
+  /** Digest of the caller's API key; undefined if there is none. */
+  readonly keyDigest: string | undefined;
+}
+
 export interface MatchedRoute {
   readonly route: Route;
   readonly configurationVersion: number;
@@ -180,6 +188,38 @@
     });
   }
 
+  /**
+   * Finds the customer of a request to a route; undefined if callers need no key.
+   * Fails with `unauthenticated` for an unknown key, and with `not-ready` while a
+   * newer configuration may hold the key.
+   */
+  authenticate(
+    credentials: CallerCredentials,
+    route: Pick<Route, 'name' | 'isPublic'>,
+    table: RouteTable,
+  ): Result<string | undefined, ServiceError> {
+    const {id, keyDigest} = credentials;
+    const ageMs = this.fleet.computeRouteAgeMs();
+    const access = decideAccess({
+      customers: table.customers,
+      keyDigest,
+      isPublic: route.isPublic ?? false,
+      isFresh: ageMs <= MAX_FRESH_AGE_MS,
+    });
+    if (access.type === 'allowed') return ok(access.customer);
+    const {kind, detail} = access.error;
+    const {version} = table.configuration;
+    const fields = {requestId: id, route: route.name, ageMs};
+    this.options.log.writeEvent('request-refused', {
+      ...fields,
+      configuration: version,
+      kind,
+      detail,
+    });
+    this.options.metrics.addCount('requests_refused_total', {kind});
+    return err(access.error);
+  }
+
   forward(call: RoutedCall, matched: MatchedRoute): Promise<CallResult> {
     const isStream = matched.route.kind === 'streaming';
     const forwarder = isStream ? this.streams : this.forwarder;
--- a/packages/core/src/batch/batch_planner.ts
+++ b/packages/core/src/batch/batch_planner.ts
@@ -275,6 +275,7 @@
       endpointId,
       software,
       host: job.host,
+      ...(job.customer === undefined ? {} : {customer: job.customer}),
       path,
       headers,
       body,
--- a/packages/core/src/batch/batch_types.ts
+++ b/packages/core/src/batch/batch_types.ts
@@ -41,6 +41,8 @@
   host: z.string(),
   path: z.string(),
   route: z.string(),
+  /** Customer that submitted the job; absent if callers need no API key. */
+  customer: z.optional(z.string()),
   /** Model that generates the texts, and the oldest allowed weight version. */
   model: z.string(),
   minVersion: z.number(),
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -25,6 +25,8 @@
   /** Version of the endpoint's software. */
   software: z._default(z.string(), ''),
   host: z.string(),
+  /** Customer that submitted the job, if any. */
+  customer: z.optional(z.string()),
   path: z.string(),
   headers: z.record(z.string(), z.string()),
   body: z.string(),
--- a/packages/core/src/calls/configuration.ts
+++ b/packages/core/src/calls/configuration.ts
@@ -3,6 +3,8 @@
  * host and path, and within which limits.
  */
 
+import {Customer, CustomerDirectory} from './customer_directory';
+
 /** Kind of a route's requests, which determines whether they may be retried. */
 export type RouteKind =
   'idempotent' | 'non-idempotent' | 'streaming' | 'rollout';
@@ -33,6 +35,8 @@
   readonly isResumable: boolean;
   /** Whether all events of a result must have one weight version. */
   readonly isSingleVersion: boolean;
+  /** Whether callers without an API key may use the route. */
+  readonly isPublic?: boolean;
   /** Time from the submission of a batch job to its last result, in ms. */
   readonly runDeadlineMs: number;
   /** Time from submission after which an item may be abandoned, in ms. */
@@ -73,6 +77,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceDescription[];
   readonly limits: CallerLimits;
+  /** Undefined if callers need no API key. */
+  readonly customers?: readonly Customer[];
 }
 
 /** Routes by host, longest prefix first. */
@@ -81,6 +87,8 @@
     readonly configuration: Configuration,
     private readonly routesByHost: ReadonlyMap<string, readonly Route[]>,
     private readonly servicesByName: ReadonlyMap<string, ServiceDescription>,
+    /** Undefined if callers need no API key. */
+    readonly customers: CustomerDirectory | undefined,
   ) {}
 
   static create(configuration: Configuration): RouteTable {
@@ -96,7 +104,9 @@
     const byService = new Map(
       configuration.services.map(service => [service.name, service]),
     );
-    return new RouteTable(configuration, byHost, byService);
+    const {customers} = configuration;
+    const directory = customers && CustomerDirectory.create(customers);
+    return new RouteTable(configuration, byHost, byService, directory);
   }
 
   /** Finds the route of a host and path; `path` must not include the query. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,6 +50,7 @@
 export * from './weights/swap_decision';
 export * from './calls/call_attempts';
 export * from './calls/configuration';
+export * from './calls/customer_directory';
 export * from './calls/endpoint_selector';
 export * from './calls/stream_origins';
 export * from './fleet/endpoint_directory';
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -156,8 +156,8 @@
       [JOB_PATHS.item]: createHandler(ITEM_SCHEMA, call =>
         this.callCoordinator(coordinator => coordinator.readItem(call)),
       ),
-      [JOB_PATHS.end]: createHandler(END_SCHEMA, ({jobId}) =>
-        this.callCoordinator(coordinator => coordinator.end(jobId)),
+      [JOB_PATHS.end]: createHandler(END_SCHEMA, call =>
+        this.callCoordinator(coordinator => coordinator.end(call)),
       ),
     };
   }
--- a/packages/jobs/src/job_client.ts
+++ b/packages/jobs/src/job_client.ts
@@ -20,6 +20,8 @@
 import {
   BODY_SCHEMA,
   DONE_SCHEMA,
+  EndCall,
+  ItemCall,
   JOB_PATHS,
   PING_SCHEMA,
   RESULTS_SCHEMA,
@@ -136,7 +138,7 @@
     if (reply.isOk()) return reply;
     const created = await this.options.jobStore.createJob(job);
     if (created.isOk()) {
-      void this.notifyCoordinator(job.id);
+      void this.notifyCoordinator(job);
       return ok({});
     }
     const isNotRun = [reply.error, created.error].every(
@@ -148,10 +150,11 @@
 
   /** Makes the coordinator load a job that this entry has stored: it loads a
    * job when the job is read. */
-  private async notifyCoordinator(jobId: string): Promise<void> {
+  private async notifyCoordinator({id, customer}: BatchJob): Promise<void> {
     const {signal} = new AbortController();
+    const call = {jobId: id, customer, after: 0, waitMs: 0};
     for (let attempt = 0; attempt < NOTIFY_ATTEMPTS; attempt++) {
-      const reply = await this.read({jobId, after: 0, waitMs: 0}, signal);
+      const reply = await this.read(call, signal);
       if (reply.isOk()) return;
       await waitMs(RETRY_MS);
     }
@@ -177,13 +180,12 @@
 
   /** Returns the body of an item, in base64. */
   async readItem(
-    jobId: string,
-    itemId: string,
+    call: ItemCall,
     signal: AbortSignal,
   ): Promise<Result<string, ServiceError>> {
     const reply = await this.callCoordinator({
       path: JOB_PATHS.item,
-      createBody: () => ({jobId, itemId}),
+      createBody: () => call,
       schema: BODY_SCHEMA,
       waitMs: 0,
       endsAtMs: this.readMs() + READ_MARGIN_MS,
@@ -193,12 +195,12 @@
   }
 
   end(
-    jobId: string,
+    call: EndCall,
     signal: AbortSignal,
   ): Promise<Result<object, ServiceError>> {
     return this.callCoordinator({
       path: JOB_PATHS.end,
-      createBody: () => ({jobId}),
+      createBody: () => call,
       schema: DONE_SCHEMA,
       waitMs: 0,
       endsAtMs: this.readMs() + END_TIMEOUT_MS,
--- a/packages/jobs/src/job_coordinator.ts
+++ b/packages/jobs/src/job_coordinator.ts
@@ -17,14 +17,15 @@
   restoreProgress,
 } from '@sassafrasspan/core';
 import type {PeerClient} from '@sassafrasspan/peers';
-import {EventLog, Metrics, waitMs} from '@sassafrasspan/runtime';
+import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {AgentDescription, AgentLinks} from './agent_links';
 import type {JobHeader, JobStore, StoredJob} from './job_store';
-import type {ItemCall, ReadCall, ResultsAnswer} from './job_messages';
+import type {EndCall, ItemCall, ReadCall, ResultsAnswer} from './job_messages';
 import {JobWriter} from './job_writer';
 import {selectEndedJobs, selectEvictions} from './job_eviction';
 import {CheckpointWriter} from './checkpoint_writer';
+import {JobEndWriter} from './job_end_writer';
 import {JobExpiry} from './job_expiry';
 import {JobScorer} from './job_scorer';
 import type {ScoringCaller} from './scoring_caller';
@@ -32,8 +33,6 @@
 
 /** Maximum time between two plans, in ms; changes are planned at once. */
 const PLAN_INTERVAL_MS = 50;
-/** Delay before a failed write of a job's end is retried, in ms. */
-const END_RETRY_MS = 500;
 /** Time to wait for agents to answer orders before the end of a job is
  * confirmed, in ms. Agents answer within 5 ms, and are ordered to stop whatever
  * they start later. */
@@ -73,8 +72,7 @@
   private readonly expiry: JobExpiry;
   /** Submissions in progress, by job id. */
   private readonly submissions = new Map<string, CallResult<object>>();
-  /** Jobs whose end is not in the store yet. */
-  private readonly unsavedEnds = new Set<string>();
+  private readonly endWriter: JobEndWriter;
   private isStopped = false;
   private runCount = 0;
   private isPlanRequested = false;
@@ -92,6 +90,7 @@
       jobStore: options.jobStore,
       clock: options.clock,
     });
+    this.endWriter = JobEndWriter.create(options.jobStore);
     this.expiry = JobExpiry.create(options);
     this.scorer = JobScorer.create({
       ...options,
@@ -173,6 +172,7 @@
   /** Stops at once; runs continue at the agents. */
   stop(): void {
     this.isStopped = true;
+    this.endWriter.stop();
     for (const timer of this.timers) clearInterval(timer);
     this.links.stop();
     this.scorer.stop();
@@ -208,7 +208,10 @@
   }
 
   private async acceptJob(job: BatchJob): CallResult<object> {
-    if (this.jobs.has(job.id)) return ok({});
+    if (this.jobs.has(job.id)) {
+      const served = await this.findJobOf(job.id, job.customer);
+      return served.map(() => ({}));
+    }
     const {jobStore, log, epoch} = this.options;
     const {id: requestId, step, minVersion} = job;
     const created = await jobStore.createJob(job);
@@ -218,7 +221,7 @@
       return err(created.error);
     }
     if (!created.value) {
-      const served = await this.findJob(job.id);
+      const served = await this.findJobOf(job.id, job.customer);
       return served.map(() => ({}));
     }
     const items = job.items.length;
@@ -231,8 +234,8 @@
 
   /** Reads the results after a position; waits until there is one. */
   async read(call: ReadCall, signal: AbortSignal): CallResult<ResultsAnswer> {
-    const {jobId, after, waitMs: limitMs} = call;
-    const served = await this.findJob(jobId);
+    const {jobId, customer, after, waitMs: limitMs} = call;
+    const served = await this.findJobOf(jobId, customer);
     if (served.isErr()) return err(served.error);
     await served.value.waitForResult(after, limitMs, signal);
     const results = served.value.listResults(after);
@@ -240,7 +243,7 @@
   }
 
   async readItem(call: ItemCall): CallResult<object> {
-    const served = await this.findJob(call.jobId);
+    const served = await this.findJobOf(call.jobId, call.customer);
     if (served.isErr()) return err(served.error);
     const item = served.value.state.items.get(call.itemId);
     if (item === undefined) {
@@ -251,8 +254,8 @@
 
   /** Ends a job; resolves when the end is stored and the agents have answered
    * the orders to stop, or had time to. */
-  async end(jobId: string): CallResult<object> {
-    const served = await this.findJob(jobId);
+  async end({jobId, customer}: EndCall): CallResult<object> {
+    const served = await this.findJobOf(jobId, customer);
     if (served.isErr()) return err(served.error);
     if (!served.value.state.isEnded) {
       this.scheduler.endJob(jobId, this.readMs());
@@ -261,30 +264,29 @@
     }
     if (served.value.isEndConfirmed) return ok({});
     const [ended] = await Promise.all([
-      this.options.jobStore.endJob(jobId),
+      this.endWriter.write(jobId),
       this.links.waitForOrders(ORDERS_WAIT_MS),
     ]);
-    if (ended.isErr()) void this.retryEnd(jobId);
-    else served.value.isEndConfirmed = true;
+    if (ended.isOk()) served.value.isEndConfirmed = true;
     return ended.map(() => ({}));
   }
 
-  /** Retries to store the end of a job, even if the caller disconnects. */
-  private async retryEnd(jobId: string): Promise<void> {
-    if (this.unsavedEnds.has(jobId)) return;
-    this.unsavedEnds.add(jobId);
-    while (!this.isStopped) {
-      await waitMs(END_RETRY_MS);
-      const ended = await this.options.jobStore.endJob(jobId);
-      if (ended.isOk() || ended.error.kind === 'not-found') break;
-    }
-    this.unsavedEnds.delete(jobId);
-  }
-
   private readMs(): number {
     return this.options.clock.readMonotonicMs();
   }
 
+  /** Returns a job of a customer; the jobs of others are not found. */
+  private async findJobOf(
+    id: string,
+    customer: string | undefined,
+  ): CallResult<ServedJob> {
+    const served = await this.findJob(id);
+    if (served.isErr()) return served;
+    const owner = served.value.state.job.customer;
+    if (owner === undefined || owner === customer) return served;
+    return err(createError('not-found', `no batch job ${id} of the caller`));
+  }
+
   /** Returns a job from memory, or loads it from the store. */
   private async findJob(id: string): CallResult<ServedJob> {
     const loaded = this.jobs.get(id);
--- a/packages/jobs/src/job_messages.ts
+++ b/packages/jobs/src/job_messages.ts
@@ -20,9 +20,16 @@
 /** Schema of an empty confirmation. */
 export const DONE_SCHEMA = z.object({});
 
+/** Fields of all calls about one job. */
+const JOB_CALL_FIELDS = {
+  jobId: z.string(),
+  /** Customer that calls; absent if callers need no API key. */
+  customer: z.optional(z.string()),
+};
+
 /** Schema of a read of results. */
 export const READ_SCHEMA = z.object({
-  jobId: z.string(),
+  ...JOB_CALL_FIELDS,
   /** Position of the first result to return, from 0. */
   after: z.number(),
   /** Maximum time to wait for a result, in ms. */
@@ -37,13 +44,16 @@
 });
 
 /** Schema of a read of an item's body. */
-export const ITEM_SCHEMA = z.object({jobId: z.string(), itemId: z.string()});
+export const ITEM_SCHEMA = z.object({
+  ...JOB_CALL_FIELDS,
+  itemId: z.string(),
+});
 
 /** Schema of an item's body, base64. */
 export const BODY_SCHEMA = z.object({body: z.string()});
 
 /** Schema of a request to end a job. */
-export const END_SCHEMA = z.object({jobId: z.string()});
+export const END_SCHEMA = z.object(JOB_CALL_FIELDS);
 
 /** Schema of the answer to a coordinator that hands over its role. */
 export const TAKEN_OVER_SCHEMA = z.object({isDone: z.boolean()});
@@ -59,3 +69,4 @@
 export type ReadCall = z.infer<typeof READ_SCHEMA>;
 export type ResultsAnswer = z.infer<typeof RESULTS_SCHEMA>;
 export type ItemCall = z.infer<typeof ITEM_SCHEMA>;
+export type EndCall = z.infer<typeof END_SCHEMA>;
--- a/packages/jobs/src/job_scorer.ts
+++ b/packages/jobs/src/job_scorer.ts
@@ -85,6 +85,7 @@
     const startedAtMs = clock.readMonotonicMs();
     const outcome = await caller.callScorer({
       call,
+      customer: job.job.customer,
       mayHedge,
       signal: this.getSignal(job.job.id),
     });
--- a/packages/jobs/src/scoring_caller.ts
+++ b/packages/jobs/src/scoring_caller.ts
@@ -27,6 +27,8 @@
 
 export interface ScoringRequest {
   readonly call: ScoringCall;
+  /** Customer that submitted the item's job, if any. */
+  readonly customer: string | undefined;
   /** Whether a second endpoint may be called while the first is slow. */
   readonly mayHedge: boolean;
   readonly signal: AbortSignal;
@@ -83,7 +85,7 @@
   }
 
   async callScorer(request: ScoringRequest): Promise<ScoringOutcome> {
-    const {call, mayHedge, signal} = request;
+    const {call, customer, mayHedge, signal} = request;
     const {forwarder, getTable, format, clock} = this.options;
     const route = this.findRoute(call);
     if (route === undefined) return createOutcome(0, 0, 'no route');
@@ -94,6 +96,7 @@
       call: {
         id: call.id,
         host: call.host,
+        customer,
         method: 'POST',
         target: call.path,
         headers: format.createHeaders(call),
