--- a/packages/jobs/src/job_client.ts
+++ b/packages/jobs/src/job_client.ts
@@ -135,7 +135,7 @@
       endsAtMs: this.readMs() + SUBMIT_ATTEMPT_MS,
       signal,
     });
-    if (reply.isOk()) return reply;
+    if (reply.isOk() || reply.error.kind === 'conflict') return reply;
     const created = await this.options.jobStore.createJob(job);
     if (created.isOk()) {
       void this.notifyCoordinator(job);
--- a/packages/jobs/src/job_coordinator.ts
+++ b/packages/jobs/src/job_coordinator.ts
@@ -20,7 +20,7 @@
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {AgentDescription, AgentLinks} from './agent_links';
-import type {JobHeader, JobStore, StoredJob} from './job_store';
+import {JobHeader, JobStore, StoredJob, createOwnerConflict} from './job_store';
 import type {EndCall, ItemCall, ReadCall, ResultsAnswer} from './job_messages';
 import {JobWriter} from './job_writer';
 import {selectEndedJobs, selectEvictions} from './job_eviction';
@@ -208,9 +208,10 @@
   }
 
   private async acceptJob(job: BatchJob): CallResult<object> {
-    if (this.jobs.has(job.id)) {
-      const served = await this.findJobOf(job.id, job.customer);
-      return served.map(() => ({}));
+    const known = this.jobs.get(job.id)?.state.job;
+    if (known !== undefined) {
+      if (known.customer === job.customer) return ok({});
+      return err(createOwnerConflict(job.id));
     }
     const {jobStore, log, epoch} = this.options;
     const {id: requestId, step, minVersion} = job;
--- a/packages/jobs/src/job_store.ts
+++ b/packages/jobs/src/job_store.ts
@@ -82,7 +82,8 @@
     return new JobStore(store, maxObjectBytes);
   }
 
-  /** Stores a job; returns false if it was already stored. */
+  /** Stores a job; returns false if it was already stored. Fails with `conflict`
+   * if another customer has a job of that id. */
   async createJob(job: BatchJob): StoreCallResult<boolean> {
     const {items, ...header} = job;
     const parts = splitItems(items, this.maxObjectBytes * PART_SHARE);
@@ -103,7 +104,18 @@
       value,
     );
     if (created.isOk()) return ok(true);
-    return created.error.kind === 'conflict' ? ok(false) : err(created.error);
+    if (created.error.kind !== 'conflict') return err(created.error);
+    return this.checkOwner(job);
+  }
+
+  /** Returns false if the stored job belongs to the same customer. */
+  private async checkOwner(job: BatchJob): StoreCallResult<boolean> {
+    if (job.customer === undefined) return ok(false);
+    const object = await this.objects.readObject(HEADER_COLLECTION, job.id);
+    if (object.isErr()) return err(object.error);
+    const stored = object.value && decodeHeader(object.value)?.header;
+    if (stored?.customer === job.customer) return ok(false);
+    return err(createOwnerConflict(job.id));
   }
 
   async endJob(id: string): StoreCallResult<void> {
@@ -347,3 +359,8 @@
 function formatRecordName(sequence: number): string {
   return String(sequence).padStart(SEQUENCE_DIGITS, '0');
 }
+
+/** Returns the error for a submission under the id of another customer's job. */
+export function createOwnerConflict(jobId: string): ServiceError {
+  return createError('conflict', `batch job ${jobId} is not the caller's`);
+}
