Refuse further requests near the end of a planned stop of an entry

Cause: EntryRole.drain waited until no request was open or the grace period was nearly over. Callers that never pause keep some request open, so that the process exited at the end with requests under way.

Change: 3.5 s before the end of the grace period, or as soon as no request is open after the time in which the load balancer may still send, the entry stops listening and refuses what it has not passed on as not run. It exits once what it has passed on is answered; what is not answered 0.5 s before the end gets an answer with an unknown outcome. The decision is the pure function decideDrain.

--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -26,6 +26,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {CallForwarder, CallResult} from './call_forwarder';
 import type {EndpointCaller, RoutedCall} from './call_types';
+import {DrainedServer, decideDrain} from './entry_drain';
 import {StreamForwarder} from './stream_forwarder';
 import {SuspicionBroadcaster} from './suspicion_broadcaster';
 
@@ -34,12 +35,8 @@
 const MAX_FRESH_AGE_MS = 3_500;
 /** Number of endpoints that a request may crash before it is refused. */
 const MAX_CRASHES = 3;
-/** Time after the start of a drain in which the load balancer may still send
- * requests, in ms: two of its health checks. */
-const DRAIN_MIN_MS = 2_200;
-/** Time reserved at the end of the grace period, in ms. */
-const DRAIN_RESERVE_MS = 500;
-/** Interval at which a drain checks for open requests, in ms. */
+/** Interval at which a drain checks for open requests, in ms; also the time for
+ * which the process goes on after its last answers. */
 const DRAIN_CHECK_MS = 50;
 
 export interface EntryRoleOptions {
@@ -187,19 +184,31 @@
   }
 
   /**
-   * Makes the entry not ready. Resolves when no request is open and the load
-   * balancer has had time to notice, or when the grace period is nearly over.
+   * Makes the entry not ready. Resolves when the load balancer has had time to
+   * notice and no request is passed on without an answer, at the latest shortly
+   * before the grace period ends. Near its end, further requests are refused.
    */
-  async drain(graceMs: number, countOpen: () => number): Promise<void> {
+  async drain(graceMs: number, server: DrainedServer): Promise<void> {
     this.isDraining = true;
-    const {clock} = this.options;
+    const {clock, log} = this.options;
     const startedAtMs = clock.readMonotonicMs();
+    let isRefusing = false;
     for (;;) {
       await waitMs(DRAIN_CHECK_MS);
       const elapsedMs = clock.readMonotonicMs() - startedAtMs;
-      if (elapsedMs > graceMs - DRAIN_RESERVE_MS) return;
-      if (elapsedMs >= DRAIN_MIN_MS && countOpen() === 0) return;
+      const open = server.countOpen();
+      const passedOn = server.countPassedOn();
+      const progress = {elapsedMs, graceMs, open, passedOn, isRefusing};
+      const decision = decideDrain(progress);
+      if (decision !== 'serve' && !isRefusing) {
+        isRefusing = true;
+        server.refuseRequests();
+        log.writeEvent('entry-closing', {elapsedMs, graceMs, open, passedOn});
+      }
+      if (decision === 'abandon') server.abandonPassedOn();
+      if (decision === 'exit' || decision === 'abandon') break;
     }
+    await waitMs(DRAIN_CHECK_MS);
   }
 
   private listOtherEntries(): PeerAddress[] {
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -48,6 +48,12 @@
     level: 'error',
     meaning: 'The process cannot listen on the address for metrics.',
   },
+  'entry-closing': {
+    number: 106,
+    level: 'info',
+    meaning:
+      'A stopping entry accepts no further requests; it exits once the `passedOn` ones are answered.',
+  },
   'request-refused': {
     number: 200,
     level: 'info',
