Account for bytes held for slow readers

Cause: answers that callers read slowly or not at all, and request bodies being read, grow without bound on VMs of 202 MB. Change: MemoryAccount holds bytes per node, customer and request, and decides which bodies are not read on, which requests are refused and which connections are cut; MeasuredMemory corrects it by what the process measures. Error kind memory-short, events memory-level-changed and connection-cut, metrics. Not wired yet.

--- a/packages/core/src/errors/error_kinds.ts
+++ b/packages/core/src/errors/error_kinds.ts
@@ -192,6 +192,12 @@
     retryAfterMs: RETRY_SOON_MS,
     summary: 'The entry has reached its maximum number of open requests.',
   },
+  'memory-short': {
+    status: 503,
+    outcome: 'not-run',
+    retryAfterMs: RETRY_LATER_MS,
+    summary: 'The entry holds as many bytes for callers as its memory allows.',
+  },
   'no-endpoint': {
     status: 503,
     outcome: 'not-run',
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -95,6 +95,18 @@
     level: 'info',
     meaning: 'An endpoint states no limit any more.',
   },
+  'memory-level-changed': {
+    number: 230,
+    level: 'warn',
+    meaning:
+      'The bytes held for callers have passed a limit: `normal`, `soft` (requests are refused) or `hard` (connections are cut).',
+  },
+  'connection-cut': {
+    number: 231,
+    level: 'warn',
+    meaning:
+      'A connection whose caller did not read or send was cut to release memory.',
+  },
   'run-started': {
     number: 210,
     level: 'info',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './limits/customer_limiter';
 export * from './limits/endpoint_limits';
 export * from './limits/limit_split';
+export * from './limits/memory_account';
 export * from './limits/rate_bucket';
 export * from './limits/rate_keeper';
 export * from './membership/fleet_view';
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -3,6 +3,16 @@
   limited_answers_total: 'Answers of endpoints that state a rate limit.',
   limited_sends_denied_total:
     'Questions of this node that a keeper of a rate limit did not grant in full.',
+  connections_cut_total:
+    'Connections cut to release memory, by reason and by what was held.',
+  endpoint_sends_held_total:
+    'Requests not sent to an endpoint that has enough bytes from this node.',
+  held_bytes: 'Bytes of bodies and answers that are held for callers.',
+  held_bytes_corrected:
+    'The same with what the process holds beyond the account, as measured.',
+  held_bytes_limit: 'Limits of the bytes held, by limit.',
+  memory_refusals_total:
+    'Requests refused because of the bytes held for callers.',
   platform_parts_down: 'Parts of the platform that do not answer this node.',
   ready: 'Whether the node takes work: 1 or 0.',
   request_ms: 'Time from dispatch to the whole answer, by service, in ms.',
