Bound the bytes held for callers and in flight at endpoints

Cause: unread answers and bodies being read grew without bound, and nothing bounded the bytes that a node sends to one endpoint at once.

--- a/packages/calls/src/attempt_descriptions.ts
+++ b/packages/calls/src/attempt_descriptions.ts
@@ -15,7 +15,10 @@
     case 'answered':
       return {type: 'answered', status: reply.answer.status};
     case 'not-run':
-      return {type: 'not-run', isFull: reply.reason === 'full'};
+      return {
+        type: 'not-run',
+        isFull: reply.reason === 'full' || reply.reason === 'held-back',
+      };
     default:
       return {type: 'lost', hadBytes: reply.hadBytes};
   }
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -52,10 +52,12 @@
       readonly limit?: number;
     }
   /** The call did not run and will not. `other-instance`: another server than
-   * the expected endpoint received it. */
+   * the expected endpoint received it. `held-back`: it was not sent, since this
+   * node has enough bytes in flight there. */
   | {
       readonly type: 'not-run';
-      readonly reason: 'full' | 'unreachable' | 'other-instance' | 'cancelled';
+      readonly reason:
+        'full' | 'held-back' | 'unreachable' | 'other-instance' | 'cancelled';
       readonly load: ReportedLoad | undefined;
       /** As in an answer; undefined also if the endpoint has not replied. */
       readonly limit?: number;
--- a/packages/runtime/src/http_server.ts
+++ b/packages/runtime/src/http_server.ts
@@ -254,6 +254,14 @@
   }
 }
 
+/** Follows the reading of a body and may end it. */
+export interface BodyMeter {
+  /** Called with the size of each part that is kept. */
+  readonly onBytes: (bytes: number) => void;
+  /** Resolves if the rest of the body is to be discarded. */
+  readonly refusal: Promise<ServiceError>;
+}
+
 /**
  * Reads a complete body up to a limit in bytes. A larger body is still read,
  * and discarded, so that the sender can finish and read the error response.
@@ -261,12 +269,19 @@
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  meter?: BodyMeter,
 ): Promise<Result<Buffer, ServiceError>> {
   const chunks: Buffer[] = [];
   let length = 0;
+  let isRefused = false;
   return new Promise(resolve => {
     const fail = (kind: ErrorKind, detail: string) =>
       resolve(err(createError(kind, detail)));
+    void meter?.refusal.then(error => {
+      isRefused = true;
+      chunks.length = 0;
+      resolve(err(error));
+    });
     const rejectOversized = () => {
       chunks.length = 0;
       fail('body-too-large', `the body is over ${maxBytes} bytes`);
@@ -275,9 +290,11 @@
       rejectOversized();
     }
     request.on('data', (chunk: Buffer) => {
+      if (isRefused) return;
       length += chunk.length;
-      if (length > maxBytes) rejectOversized();
-      else chunks.push(chunk);
+      if (length > maxBytes) return rejectOversized();
+      chunks.push(chunk);
+      meter?.onBytes(chunk.length);
     });
     request.on('end', () => resolve(ok(Buffer.concat(chunks))));
     request.on('error', error => fail('slow-sender', error.message));
