Cut connections, not requests

Cause: a connection with pipelined requests holds several answers; a cut of one released them all, so that more connections were cut than needed, and a queued answer counted as idle while the one before it was read. Change: the account groups requests by connection for cuts and idle times.

--- a/packages/core/src/limits/memory_account.test.ts
+++ b/packages/core/src/limits/memory_account.test.ts
@@ -9,6 +9,9 @@
 const LIMITS = {softBytes: 40 * MB, hardBytes: 70 * MB, stallMs: 15_000};
 const TICK_MS = 250;
 
+/** Number of the next connection. */
+let nextConnection = 1;
+
 interface Reader {
   readonly customer: string;
   /** Requests per second of this kind of reader. */
@@ -47,7 +50,11 @@
           count.refused += 1;
           continue;
         }
-        const id = account.startRequest(reader.customer, nowMs);
+        const id = account.startRequest(
+          reader.customer,
+          nextConnection++,
+          nowMs,
+        );
         account.startRun(id);
         runs.push({id, reader, endsAtMs: nowMs + 200});
         count.served += 1;
@@ -119,7 +126,7 @@
 test('a burst beyond the hard limit cuts finished answers last', () => {
   const account = MemoryAccount.create(LIMITS);
   const start = (customer: string, nowMs: number) =>
-    account.startRequest(customer, nowMs);
+    account.startRequest(customer, nextConnection++, nowMs);
   const body = start('a', 50);
   account.addBodyBytes(body, 10 * MB, 50);
   const streaming = start('a', 0);
@@ -147,23 +154,25 @@
 
 test('a customer within its share is cut after one above it', () => {
   const account = MemoryAccount.create(LIMITS);
-  const small = account.startRequest('small', 0);
+  const small = account.startRequest('small', nextConnection++, 0);
   account.startAnswer(small, 10 * MB, 0);
-  const large = account.startRequest('large', 50);
+  const large = account.startRequest('large', nextConnection++, 50);
   account.startAnswer(large, 65 * MB, 50);
   expect(account.planCuts(100).map(({id}) => id)).toEqual([large]);
 });
 
 test('above the soft limit one body at a time is read on', () => {
   const account = MemoryAccount.create(LIMITS);
-  const ids = [1, 2, 3].map(nowMs => account.startRequest('a', nowMs));
+  const ids = [1, 2, 3].map(nowMs =>
+    account.startRequest('a', nextConnection++, nowMs),
+  );
   for (const id of ids) account.addBodyBytes(id, 12 * MB, 0);
   expect(ids.map(id => account.canRead(id))).toEqual([true, true, true]);
   account.addBodyBytes(ids[2], 10 * MB, 10);
   expect(ids.map(id => account.canRead(id))).toEqual([true, false, false]);
   account.startRun(ids[0]);
   // Another customer's body is not held up.
-  const other = account.startRequest('b', 20);
+  const other = account.startRequest('b', nextConnection++, 20);
   expect(account.canRead(other)).toBe(true);
   account.endRequest(other);
   const bodies = ids.slice(1);
@@ -178,7 +187,7 @@
     for (let i = 0; i < 40; i += 1) account.updateMeasured(measuredBytes);
   };
   update(5 * MB);
-  const id = account.startRequest('a', 0);
+  const id = account.startRequest('a', nextConnection++, 0);
   account.startAnswer(id, 25 * MB, 0);
   expect(account.admitRequest('a')).toBeUndefined();
   // Node holds a copy of each answer.
@@ -196,14 +205,32 @@
   const account = MemoryAccount.create(LIMITS);
   for (let nowMs = 0; nowMs <= 20_000; nowMs += TICK_MS) {
     account.advance(nowMs);
-    const id = account.startRequest('a', nowMs);
+    const id = account.startRequest('a', nextConnection++, nowMs);
     account.startAnswer(id, 5 * MB, nowMs);
     account.endRequest(id);
   }
-  const id = account.startRequest('a', 0);
+  const id = account.startRequest('a', nextConnection++, 0);
   account.startAnswer(id, 60 * MB, 0);
   // 20 MB are too many, and 20 MB are released each second.
   const refusal = account.admitRequest('a');
   expect(refusal?.retryAfterMs).toBeGreaterThan(900);
   expect(refusal?.retryAfterMs).toBeLessThan(1_100);
 });
+
+test('a connection with several requests is cut once and judged as one', () => {
+  const account = MemoryAccount.create(LIMITS);
+  const start = (connection: number, nowMs: number) => {
+    const id = account.startRequest('a', connection, nowMs);
+    account.startAnswer(id, 20 * MB, nowMs);
+    return id;
+  };
+  const [reading, queued] = [start(1, 0), start(1, 0)];
+  const [idle] = [start(2, 50), start(2, 50)];
+  account.recordProgress(reading, 100);
+  // The first connection reads, so that its queued answer is not idle; the
+  // second one holds 40 MB, which is enough.
+  expect(account.planCuts(200)).toMatchObject([
+    {id: idle, bytes: 40 * MB, idleMs: 150},
+  ]);
+  expect(queued).toBeLessThan(idle);
+});
--- a/packages/core/src/limits/memory_account.ts
+++ b/packages/core/src/limits/memory_account.ts
@@ -47,6 +47,8 @@
 /** What is held for one request and so for its connection. */
 interface HeldRequest {
   readonly customer: string;
+  /** Number of the connection. */
+  readonly connection: number;
   bytes: number;
   stage: HeldStage;
   /** When the caller last sent or read something. */
@@ -56,6 +58,12 @@
   isSampled: boolean;
 }
 
+/** What is held for all requests of one connection. */
+interface HeldConnection {
+  bytes: number;
+  progressAtMs: number;
+}
+
 /** What is held for one customer. */
 interface HeldCustomer {
   bytes: number;
@@ -73,8 +81,10 @@
 }
 
 export interface MemoryCut {
+  /** Number of the request for which the connection is cut. */
   readonly id: number;
   readonly stage: HeldStage;
+  /** Bytes held for the connection. */
   readonly bytes: number;
   /** Time since the caller last sent or read something, in ms. */
   readonly idleMs: number;
@@ -133,7 +143,7 @@
   }
 
   /** Begins to account for a request; returns its number. */
-  startRequest(customer: string, nowMs: number): number {
+  startRequest(customer: string, connection: number, nowMs: number): number {
     this.lastId += 1;
     const held = this.customers.get(customer);
     if (held === undefined) {
@@ -141,6 +151,7 @@
     } else held.requests += 1;
     this.requests.set(this.lastId, {
       customer,
+      connection,
       bytes: 0,
       stage: 'body',
       progressAtMs: nowMs,
@@ -253,16 +264,21 @@
     const mayCutStalled = this.hasRefused && heldBytes > softBytes;
     this.hasRefused = false;
     if (heldBytes <= hardBytes && !mayCutStalled) return [];
+    const connections = this.groupByConnection();
     const cuts: MemoryCut[] = [];
-    for (const [id, request] of this.rankForCuts()) {
-      const {stage, bytes} = request;
-      const idleMs = nowMs - request.progressAtMs;
+    for (const [id, request] of this.rankForCuts(connections)) {
+      const connection = connections.get(request.connection);
+      if (connection === undefined) continue;
+      const {stage} = request;
+      const {bytes} = connection;
+      const idleMs = nowMs - connection.progressAtMs;
       const isOverHard = heldBytes > hardBytes;
       const isStalled =
         mayCutStalled && heldBytes > softBytes && idleMs >= stallMs;
       if (!isOverHard && !isStalled) continue;
       const reason = isOverHard ? 'hard-limit' : 'stalled';
       cuts.push({id, stage, bytes, idleMs, reason});
+      connections.delete(request.connection);
       heldBytes -= bytes * factor;
     }
     return cuts;
@@ -285,7 +301,25 @@
     };
   }
 
-  private rankForCuts(): [number, HeldRequest][] {
+  /** A pipelined request makes no progress while the one before it does, so
+   * that idle times are those of connections. */
+  private groupByConnection(): Map<number, HeldConnection> {
+    const connections = new Map<number, HeldConnection>();
+    for (const {connection, bytes, progressAtMs} of this.requests.values()) {
+      const held = connections.get(connection);
+      if (held === undefined) {
+        connections.set(connection, {bytes, progressAtMs});
+      } else {
+        held.bytes += bytes;
+        held.progressAtMs = Math.max(held.progressAtMs, progressAtMs);
+      }
+    }
+    return connections;
+  }
+
+  private rankForCuts(
+    connections: ReadonlyMap<number, HeldConnection>,
+  ): [number, HeldRequest][] {
     const overShare = new Map<string, boolean>();
     for (const customer of this.customers.keys()) {
       const bytes = this.estimateCustomerBytes(customer);
@@ -293,6 +327,8 @@
     }
     const getShareRank = (request: HeldRequest) =>
       overShare.get(request.customer) ? 0 : 1;
+    const getProgressMs = (request: HeldRequest) =>
+      connections.get(request.connection)?.progressAtMs ?? 0;
     const getStageRank = (request: HeldRequest) =>
       CUT_RANKS[request.stage] ?? 0;
     return [...this.requests]
@@ -301,7 +337,7 @@
         ([, a], [, b]) =>
           getShareRank(a) - getShareRank(b) ||
           getStageRank(a) - getStageRank(b) ||
-          a.progressAtMs - b.progressAtMs,
+          getProgressMs(a) - getProgressMs(b),
       );
   }
 
