--- a/packages/calls/src/call_forwarder.test.ts
+++ b/packages/calls/src/call_forwarder.test.ts
@@ -22,6 +22,7 @@
   ok: {type: 'answered', answer: createAnswer(200), load: LOAD},
   failed: {type: 'answered', answer: createAnswer(500), load: LOAD},
   full: {type: 'not-run', reason: 'full', load: LOAD},
+  held: {type: 'not-run', reason: 'held-back', load: LOAD},
   unreachable: {type: 'not-run', reason: 'unreachable', load: LOAD},
   moved: {type: 'not-run', reason: 'other-instance', load: LOAD},
   lost: {type: 'lost', hadBytes: false, detail: 'reset'},
