Report the usage of customers under a duty that one node holds

Cause: the cloud wants one report of each window of 5 s, with the same counts whoever sends it, and nobody but the senders checks that only one VM acts.

Change: `DutyHolder` writes each action to the duty's object by a conditional update before the call. The write permits calls for 1,000 ms; a new holder takes the next token and waits until the previous holder's last permit and the lease have run out. `HttpClient` asks the permit again after connecting, right before the request is written. Entries count the starts of calls in spans of 10 ms and push them to the coordinator, which closes windows by the median of the nodes' wall clocks and writes the counts before it sends them. Without `cloud` in the settings nothing changes.

--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -5,14 +5,8 @@
  */
 import {
   CallProgress,
-  Clock,
-  EndpointDirectory,
   EndpointEntry,
-  EndpointSelector,
-  Quarantine,
-  RandomSource,
   Route,
-  RouteBurnTracker,
   ServiceError,
   StreamOrigin,
   computeHedgeDelay,
@@ -20,39 +14,18 @@
   decideAfterAttempt,
   pickTarget,
 } from '@sassafrasspan/core';
-import type {RateGate} from '@sassafrasspan/limits';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
-import {Result, err, ok} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {
   computeFingerprint,
   describeEnd,
   describeReason,
 } from './attempt_descriptions';
+import {CallStart} from './call_starts';
 import {CallPlacement} from './call_placement';
-import type {
-  EndpointAnswer,
-  EndpointCaller,
-  AttemptOutcome,
-  MatchedCall,
-} from './call_types';
+import type {EndpointAnswer, AttemptOutcome, MatchedCall} from './call_types';
+import type {CallForwarderOptions, CallResult} from './forwarder_options';
 
-export interface CallForwarderOptions {
-  readonly endpoints: EndpointDirectory;
-  readonly pool: EndpointSelector;
-  readonly caller: EndpointCaller;
-  /** Limits that endpoints state. */
-  readonly rateGate: RateGate;
-  /** Requests that may crash the endpoints that run them; undefined if no call
-   * of this forwarder does. */
-  readonly quarantine?: Quarantine;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly log: EventLog;
-  readonly metrics: Metrics;
-  readonly burn: RouteBurnTracker;
-}
-
-export type CallResult = Result<EndpointAnswer, ServiceError>;
+export type {CallForwarderOptions, CallResult};
 
 export class CallForwarder {
   private constructor(private readonly options: CallForwarderOptions) {}
@@ -144,6 +117,7 @@
   /** Attempts that may have run the call. */
   private runs = 0;
   private rejections = 0;
+  private readonly start: CallStart;
   /** Attempts whose endpoint is being chosen. */
   private placements = 0;
   /** Latest answer after which the call was retried. */
@@ -160,7 +134,9 @@
     private readonly placement: CallPlacement,
     /** The earlier of the caller's deadline and the route's timeout. */
     private readonly endsAtMs: number,
-  ) {}
+  ) {
+    this.start = CallStart.create(matched.call, options.starts);
+  }
 
   static create(
     options: CallForwarderOptions,
@@ -235,6 +211,7 @@
     this.attempts.add(controller);
     this.runs += 1;
     pool.recordStart(endpoint.id);
+    this.start.recordAttempt(startedAtMs);
     log.writeEvent('request-dispatched', {
       requestId: call.id,
       endpoint: endpoint.id,
@@ -255,6 +232,7 @@
     if (reply.type === 'answered') {
       call.onAnswered?.(reply.answer.status, endpoint);
     }
+    if (reply.type === 'not-run') this.start.withdrawAttempt();
     if (!this.isOver) this.recordSuspicion(endpoint, reply);
     if (!this.isOver) this.handleReply(endpoint, reply);
   }
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -70,6 +70,13 @@
       readonly detail: string;
     };
 
+/** Records which calls endpoints began to run, for the usage of customers. */
+export interface StartRecorder {
+  recordStart(callId: string, customer: string, nowMs: number): void;
+  /** Takes back the start of a call that no endpoint ran. */
+  withdrawStart(callId: string): void;
+}
+
 /** Sends calls to endpoints. */
 export interface EndpointCaller {
   /**
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -26,7 +26,7 @@
 } from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {CallForwarder, CallResult} from './call_forwarder';
-import type {EndpointCaller, RoutedCall} from './call_types';
+import type {EndpointCaller, RoutedCall, StartRecorder} from './call_types';
 import {StreamForwarder} from './stream_forwarder';
 import {SuspicionBroadcaster} from './suspicion_broadcaster';
 
@@ -54,6 +54,8 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly burn: RouteBurnTracker;
+  /** Undefined if starts of calls are not counted. */
+  readonly starts?: StartRecorder;
   /** Called with each route table that takes effect. */
   readonly onRoutes: (table: RouteTable) => void;
 }
@@ -114,6 +116,7 @@
       log,
       metrics,
       burn,
+      starts: options.starts,
     });
     const {forwarder} = this;
     this.streams = StreamForwarder.create({...options, forwarder});
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -6,6 +6,8 @@
  * table by a test.
  */
 
+import {DUTY_EVENTS} from './duty_events';
+
 /** Severity of an event, with bunyan's names. */
 export type EventLevel = 'debug' | 'info' | 'warn' | 'error';
 
@@ -357,6 +359,7 @@
     level: 'info',
     meaning: 'The object API answers again.',
   },
+  ...DUTY_EVENTS,
 } as const satisfies Record<string, EventEntry>;
 
 /** Name of a listed event. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -76,3 +76,7 @@
 export * from './batch/move_plan';
 export * from './batch/progress';
 export * from './fleet/store_path_selector';
+export * from './duties/duty_lease';
+export * from './duties/usage_ledger';
+export * from './duties/usage_collection';
+export * from './duties/usage_history';
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -74,10 +74,21 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly burn: RouteBurnTracker;
+  /** Undefined if there are none. */
+  readonly duties?: RoleDuties;
 }
 
 type CallAnswer = Promise<Result<unknown, ServiceError>>;
 
+/** Duties that are performed with the role of coordinator. */
+export interface RoleDuties {
+  start(): void;
+  stop(): void;
+  /** Stops and lets the next coordinator begin sooner. */
+  release(): Promise<void>;
+  setCustomers(names: readonly string[]): void;
+}
+
 /** A candidate for the role of coordinator, and the coordinator if elected. */
 export class CoordinatorRole {
   private readonly election: CoordinatorElection;
@@ -93,7 +104,11 @@
     this.fleet = FleetState.create({
       clock,
       log,
-      onRoutesChanged: () => this.updateAgents(),
+      onRoutesChanged: table => {
+        const customers = table.configuration.customers ?? [];
+        options.duties?.setCustomers(customers.map(({name}) => name));
+        this.updateAgents();
+      },
       onEndpointsChanged: () => {
         this.rates.removeUnregistered(this.fleet.endpoints.listAll());
         this.updateAgents();
@@ -119,6 +134,7 @@
   async stop(): Promise<void> {
     this.election.startDraining();
     if (this.coordinator === undefined) return;
+    await this.options.duties?.release();
     const next = await this.election.handOver();
     this.stopCoordinator(`handed over to ${next}`);
   }
@@ -187,6 +203,7 @@
     });
     this.coordinator = coordinator;
     this.startWatches(coordinator);
+    options.duties?.start();
     while (this.coordinator === coordinator) {
       const started = await coordinator.start();
       if (started.isOk()) break;
@@ -220,6 +237,7 @@
     if (this.coordinator === undefined) return;
     this.options.log.writeEvent('home-lost', {detail});
     this.coordinator.stop();
+    this.options.duties?.stop();
     this.coordinator = undefined;
     this.isServing = false;
     this.fleet.stop();
@@ -250,6 +268,7 @@
     const {name, log, source} = this.options;
     if (vm === name) {
       this.election.startDraining();
+      await this.options.duties?.release();
       const next = await this.election.handOver();
       if (next !== undefined) {
         return this.stopCoordinator(`VM retires, handed over to ${next}`);
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -56,6 +56,9 @@
    * connection is closed and the call fails as `broken`.
    */
   readonly isExpectedResponse?: (headers: IncomingHttpHeaders) => boolean;
+  /** Returns whether the request may still be written; asked right before that,
+   * also when the connection has been opened. */
+  readonly mayWrite?: () => boolean;
   /** Cancels the call and closes its connection. */
   readonly signal?: AbortSignal;
 }
@@ -310,17 +313,28 @@
   private watchConnect(socket: Socket): void {
     if (this.isFinished) return;
     if (!socket.connecting) {
+      if (!this.canWrite()) return this.refuseWrite();
       this.isSent = true;
       return;
     }
     const limitMs = this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
     const timer = this.addTimer(limitMs, 'unreachable', 'connecting timed out');
     socket.once('connect', () => {
-      this.isSent = true;
       clearTimeout(timer);
+      // This listener runs before the one that writes the request.
+      if (!this.canWrite()) return this.refuseWrite();
+      this.isSent = true;
     });
   }
 
+  private canWrite(): boolean {
+    return this.options.mayWrite?.() ?? true;
+  }
+
+  private refuseWrite(): void {
+    this.fail('cancelled', 'the call may not be written any more');
+  }
+
   private addTimer(
     delayMs: number,
     reason: HttpFailureReason,
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -1,5 +1,7 @@
 /** Help texts of the metrics in the Prometheus output, by name. */
 export const METRIC_HELP: Readonly<Record<string, string>> = {
+  cloud_calls_total: 'Calls to the cloud, by path and status; 0 for none.',
+  duty_writes_total: 'Writes of duties to the store, by outcome.',
   limited_answers_total: 'Answers of endpoints that state a rate limit.',
   limited_sends_denied_total:
     'Questions of this node that a keeper of a rate limit did not grant in full.',
@@ -15,4 +17,6 @@
   runs_refused_total: 'Runs that the agent refused as not run, by kind.',
   scoring_ms: 'Time of a scoring call with its retries, in ms.',
   scorings_total: 'Scoring calls by what became of the item.',
+  usage_windows_missing:
+    'Closed windows of usage that the cloud has not accepted.',
 };
