Choose endpoints by learned capacity

Cause: endpoints of one service differ in speed, and some slow down long before they are full; the fixed cost knows neither, and least outstanding calls less.

Change: one estimate per endpoint id of base time, knee, load and slowness, with confidence, age and detection of changes; where it is on it replaces latency, load and the surcharge on cold endpoints in EndpointSelector.

--- a/packages/core/src/calls/endpoint_selector.ts
+++ b/packages/core/src/calls/endpoint_selector.ts
@@ -1,8 +1,10 @@
 /**
  * Chooses the endpoint of a routed call at one entry, from what this entry has
  * observed: its own calls in progress, latency, consecutive failures, and the
- * load that endpoints report in their answers.
+ * load that endpoints report in their answers. Where capacity estimates are on,
+ * they replace latency, load and the surcharge on cold endpoints.
  */
+import type {CapacityPusher} from '../capacity/capacity_exchange';
 import type {EndpointEntry} from '../fleet/endpoint_directory';
 import type {RandomSource} from '../shared/clock';
 
@@ -28,6 +30,9 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How many times as long as usual work takes at present; undefined if the
+   * endpoint does not report it. */
+  readonly slowness?: number;
 }
 
 /**
@@ -56,11 +61,17 @@
   private constructor(
     private readonly ownDomain: string,
     private readonly random: RandomSource,
+    private readonly capacity: CapacityPusher | undefined,
   ) {}
 
-  /** `ownDomain` is the entry's failure domain. */
-  static create(ownDomain: string, random: RandomSource): EndpointSelector {
-    return new EndpointSelector(ownDomain, random);
+  /** `ownDomain` is the entry's failure domain; without `capacity` all costs are
+   * fixed. */
+  static create(
+    ownDomain: string,
+    random: RandomSource,
+    capacity?: CapacityPusher,
+  ): EndpointSelector {
+    return new EndpointSelector(ownDomain, random, capacity);
   }
 
   /**
@@ -75,6 +86,17 @@
     nowMs: number,
     isLimited: (endpointId: string) => boolean = () => false,
   ): EndpointEntry | undefined {
+    if (this.capacity?.estimator.isOn(endpoints)) {
+      const choose = (mayUseEjected: boolean) =>
+        this.chooseByCapacity(
+          endpoints,
+          excluded,
+          nowMs,
+          isLimited,
+          mayUseEjected,
+        );
+      return choose(false) ?? choose(true);
+    }
     const candidates = endpoints.filter(endpoint => !excluded.has(endpoint.id));
     const healthy = candidates.filter(
       endpoint => this.getStats(endpoint.id).ejectedUntilMs <= nowMs,
@@ -108,6 +130,10 @@
 
   /** Returns the mean latency of the endpoints that have answered, in ms. */
   getMeanLatencyMs(endpoints: readonly EndpointEntry[]): number {
+    if (this.capacity?.estimator.isOn(endpoints)) {
+      const meanMs = this.capacity.estimator.estimateMeanMs(endpoints);
+      return meanMs ?? UNKNOWN_LATENCY_MS;
+    }
     const known = endpoints
       .map(endpoint => this.getStats(endpoint.id))
       .filter(stats => stats.latencyAtMs > -Infinity)
@@ -136,6 +162,7 @@
       stats.loadAtMs = nowMs;
     }
     if (outcome === 'answered') {
+      this.learnCapacity(id, stats.outstanding, latencyMs, nowMs, load);
       const age = nowMs - stats.latencyAtMs;
       const weight = age > STATS_MAX_AGE_MS ? 1 : LATENCY_WEIGHT;
       stats.latencyMs += weight * (latencyMs - stats.latencyMs);
@@ -154,6 +181,7 @@
     const stats = this.getStats(id);
     stats.latencyMs = Math.max(stats.latencyMs, latencyMs);
     stats.latencyAtMs = nowMs;
+    this.capacity?.estimator.learnSlowCall(id, latencyMs, nowMs);
   }
 
   /** Removes statistics of endpoints that are idle and no longer registered. */
@@ -163,6 +191,51 @@
         this.statsById.delete(id);
       }
     }
+    this.capacity?.estimator.removeUnregistered(registeredIds);
+  }
+
+  private chooseByCapacity(
+    endpoints: readonly EndpointEntry[],
+    excluded: ReadonlySet<string>,
+    nowMs: number,
+    isLimited: (endpointId: string) => boolean,
+    mayUseEjected: boolean,
+  ): EndpointEntry | undefined {
+    const candidates = {
+      endpoints,
+      countOutstanding: ({id}: EndpointEntry) => {
+        if (excluded.has(id)) return undefined;
+        const stats = this.getStats(id);
+        if (!mayUseEjected && stats.ejectedUntilMs > nowMs) return undefined;
+        return stats.outstanding;
+      },
+      computeFactor: ({id, failureDomain}: EndpointEntry) =>
+        (failureDomain === this.ownDomain ? 1 : REMOTE_COST_FACTOR) *
+        (isLimited(id) ? LIMITED_COST_FACTOR : 1),
+      // A retry or hedge is already late.
+      mayExplore: excluded.size === 0,
+    };
+    return this.capacity?.estimator.choose(candidates, nowMs);
+  }
+
+  /** Takes in the time of a call; without a reported load, the endpoint's load
+   * is this entry's. */
+  private learnCapacity(
+    id: string,
+    outstanding: number,
+    tookMs: number,
+    nowMs: number,
+    load: ReportedLoad | undefined,
+  ): void {
+    if (this.capacity === undefined) return;
+    const reported = load === undefined ? 0 : load.running + load.waiting;
+    const sample = {
+      tookMs,
+      concurrency: Math.max(reported, outstanding + 1),
+      slots: load?.slots ?? 0,
+      slowness: load?.slowness,
+    };
+    this.capacity.learnSample(id, sample, outstanding, nowMs);
   }
 
   /** Returns the expected latency in ms, weighted by load and location. */
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -95,6 +95,12 @@
     level: 'info',
     meaning: 'An endpoint states no limit any more.',
   },
+  'capacity-changed': {
+    number: 209,
+    level: 'info',
+    meaning:
+      'The estimate of how much load an endpoint takes well has changed materially; at most once in 10 s for each endpoint.',
+  },
   'run-started': {
     number: 210,
     level: 'info',
--- a/packages/core/src/testing/index.ts
+++ b/packages/core/src/testing/index.ts
@@ -7,3 +7,4 @@
 export * from './scoring_simulation';
 export * from './scoring_load';
 export * from './plan_views';
+export * from './capacity_simulation';
