Share capacity samples between nodes; decode the fourth load figure

Cause: 8 calls a second over 39 entries give each too few samples, and the slowness that endpoints report was ignored.

Change: Server-Load is read with three or four figures; the setting capacityEstimates (off, on, reported) reaches entries and coordinators; entries push up to 32 samples to the coordinator and receive up to 32 estimates. Event capacity-changed, four counters, and the cost of a choice in npm run bench.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import {parseArgs} from 'node:util';
 import {createFullPlan, formatResults, runBench} from './bench_report';
 import {BOUNDS, checkBound, formatChecks} from './bounds';
+import {formatChoiceCost} from './capacity_cost';
 import {formatScoring} from './scoring_comparison';
 
 const {values} = parseArgs({
@@ -28,3 +29,4 @@
 process.stdout.write(formatResults(results));
 process.stdout.write(`\n${formatChecks(checks)}`);
 process.stdout.write(`\n${formatScoring(Number(values.seed))}`);
+process.stdout.write(`\n${formatChoiceCost(Number(values.seed))}`);
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -3,6 +3,7 @@
  * and a shutdown that doesn't interrupt requests in progress.
  */
 import {
+  CapacityMode,
   Clock,
   EndpointSelector,
   Quarantine,
@@ -26,6 +27,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {CallForwarder, CallResult} from './call_forwarder';
 import type {EndpointCaller, RoutedCall} from './call_types';
+import {CapacitySharing} from './capacity_sharing';
 import {StreamForwarder} from './stream_forwarder';
 import {SuspicionBroadcaster} from './suspicion_broadcaster';
 
@@ -53,6 +55,8 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly burn: RouteBurnTracker;
+  /** Whether learned capacity decides on endpoints; off if absent. */
+  readonly capacityEstimates?: CapacityMode;
   /** Called with each route table that takes effect. */
   readonly onRoutes: (table: RouteTable) => void;
 }
@@ -76,6 +80,7 @@
   private readonly broadcaster: SuspicionBroadcaster;
   private readonly rates: EndpointRates;
   private readonly streams: StreamForwarder;
+  private readonly capacity: CapacitySharing;
   private isDraining = false;
 
   private constructor(private readonly options: EntryRoleOptions) {
@@ -85,9 +90,13 @@
       clock,
       log,
       onRoutesChanged: options.onRoutes,
-      onEndpointsChanged: () =>
-        this.rates.removeUnregistered(this.fleet.endpoints.listAll()),
+      onEndpointsChanged: () => {
+        const endpoints = this.fleet.endpoints.listAll();
+        this.rates.removeUnregistered(endpoints);
+        this.capacity.removeUnregistered(new Set(endpoints.map(({id}) => id)));
+      },
     });
+    this.capacity = CapacitySharing.create(options);
     this.rates = EndpointRates.create(options);
     const quarantine = Quarantine.create(MAX_CRASHES);
     this.broadcaster = SuspicionBroadcaster.create({
@@ -97,7 +106,11 @@
     });
     this.forwarder = CallForwarder.create({
       endpoints: this.fleet.endpoints,
-      pool: EndpointSelector.create(failureDomain, random),
+      pool: EndpointSelector.create(
+        failureDomain,
+        random,
+        this.capacity.getPusher(),
+      ),
       caller,
       rateGate: this.rates.gate,
       quarantine,
@@ -119,6 +132,7 @@
   start(source: FleetSource): void {
     this.fleet.start(source);
     this.rates.start();
+    this.capacity.start();
   }
 
   /** Returns handlers for the calls of other entries. */
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -1,5 +1,6 @@
 /** Forwards routed calls from callers through an entry to endpoints. */
 export * from './call_forwarder';
 export * from './call_types';
+export * from './capacity_sharing';
 export * from './entry_role';
 export * from './suspicion_broadcaster';
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -3,9 +3,14 @@
  * settings), apart from wire formats. It takes part in the election, and
  * watches routes, endpoints and versions only while it is the coordinator.
  */
-import {CallForwarder, EndpointCaller} from '@sassafrasspan/calls';
+import {
+  CallForwarder,
+  CapacitySharing,
+  EndpointCaller,
+} from '@sassafrasspan/calls';
 import {
   BatchJob,
+  CapacityMode,
   Clock,
   CoordinatorRecord,
   EndpointSelector,
@@ -74,6 +79,8 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly burn: RouteBurnTracker;
+  /** Whether learned capacity decides on the endpoints of scoring calls; off if absent. */
+  readonly capacityEstimates?: CapacityMode;
 }
 
 type CallAnswer = Promise<Result<unknown, ServiceError>>;
@@ -83,6 +90,7 @@
   private readonly election: CoordinatorElection;
   private readonly fleet: FleetState;
   private readonly rates: EndpointRates;
+  private readonly capacity: CapacitySharing;
   private watches: RunnableWatch[] = [];
   private coordinator: JobCoordinator | undefined;
   /** Whether the coordinator has loaded the stored jobs. */
@@ -95,11 +103,14 @@
       log,
       onRoutesChanged: () => this.updateAgents(),
       onEndpointsChanged: () => {
-        this.rates.removeUnregistered(this.fleet.endpoints.listAll());
+        const endpoints = this.fleet.endpoints.listAll();
+        this.rates.removeUnregistered(endpoints);
+        this.capacity.removeUnregistered(new Set(endpoints.map(({id}) => id)));
         this.updateAgents();
       },
     });
     this.rates = EndpointRates.create(options);
+    this.capacity = CapacitySharing.create(options);
     this.election = CoordinatorElection.create({
       ...options,
       onElected: record => void this.startCoordinator(record),
@@ -136,6 +147,7 @@
   createRoutes(): PeerRoutes {
     return {
       ...this.rates.createRoutes(),
+      ...this.capacity.createRoutes(),
       [JOB_PATHS.takeOver]: createHandler(z.unknown(), async () =>
         ok({isDone: await this.election.takeOver()}),
       ),
@@ -207,7 +219,11 @@
         ...this.options,
         endpoints,
         rateGate: this.rates.gate,
-        pool: EndpointSelector.create(failureDomain, random),
+        pool: EndpointSelector.create(
+          failureDomain,
+          random,
+          this.capacity.getPusher(),
+        ),
       }),
       endpoints,
       getTable: () => this.fleet.getTable(),
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -1,5 +1,13 @@
 /** Help texts of the metrics in the Prometheus output, by name. */
 export const METRIC_HELP: Readonly<Record<string, string>> = {
+  capacity_changes_total:
+    'Material changes of an estimate of how much load an endpoint takes well.',
+  capacity_digests_total:
+    'Estimates of endpoints that this node took over from the coordinator.',
+  capacity_explored_total:
+    'Calls sent to an endpoint to learn whether it has become faster.',
+  capacity_pushes_total:
+    'Pushes of capacity samples to the coordinator, by result.',
   limited_answers_total: 'Answers of endpoints that state a rate limit.',
   limited_sends_denied_total:
     'Questions of this node that a keeper of a rate limit did not grant in full.',
