Find an unused endpoint's return within 3 s

Change: the variance of few samples is drawn to the observed one; doubt grows faster with age, within the same budget.

--- a/packages/core/src/capacity/capacity.test.ts
+++ b/packages/core/src/capacity/capacity.test.ts
@@ -17,7 +17,7 @@
  * which an estimate must settle is the same. */
 const SETTLING_MS = 3_000;
 const PER_SECOND = 50;
-const SEEDS = [1, 2, 3];
+const SEEDS = [1, 2, 3, 4, 5, 6];
 const CHANGE_MS = 10_000;
 const RETURN_MS = 18_000;
 const END_MS = 26_000;
--- a/packages/core/src/capacity/capacity_view.ts
+++ b/packages/core/src/capacity/capacity_view.ts
@@ -3,7 +3,7 @@
  * from what is known of the service.
  */
 import {EndpointEstimate, getKneeShare} from './endpoint_estimate';
-import {NO_KNEE} from './knee_fit';
+import {DEFAULT_VARIANCE, NO_KNEE} from './knee_fit';
 
 /** Base time assumed without any sample of the service, in ms. */
 export const UNKNOWN_BASE_MS = 40;
@@ -13,11 +13,9 @@
 /** Bounds of the measured variance: a deviation of 14%, and of 2 times. */
 const MIN_PRIOR_VARIANCE = 0.02;
 const MAX_PRIOR_VARIANCE = 0.5;
-/** Variance of the logarithm of the time of calls, before it is measured. */
-const DEFAULT_VARIANCE = 0.36;
-/** Growth of the variance of an estimate without new samples, per ms: after 2 s
+/** Growth of the variance of an estimate without new samples, per ms: after 1 s
  * an endpoint may as well have become 2.7 times as fast. */
-const DRIFT_PER_MS = 0.000_5;
+const DRIFT_PER_MS = 0.001;
 /** Variance of the load that others place, as a share of their mean load; with
  * this factor the approximation of the mean excess is exact at the knee. */
 const EXCESS_VARIANCE = 0.64;
--- a/packages/core/src/capacity/knee_fit.ts
+++ b/packages/core/src/capacity/knee_fit.ts
@@ -16,6 +16,10 @@
 const PLAUSIBLE_MARGIN = 4;
 /** Lowest variance of the logarithm of a call's time; a deviation of 30%. */
 export const MIN_VARIANCE = 0.09;
+/** Variance that is assumed without samples, as observed, and the number of
+ * samples that outweigh it. */
+export const DEFAULT_VARIANCE = 0.36;
+const VARIANCE_PRIOR_WEIGHT = 8;
 /** Samples below which no knee is taken. */
 const MIN_KNEE_SAMPLES = 12;
 
@@ -98,7 +102,7 @@
   return {
     knee: best,
     logBase: sums.sums[best] / sums.weight,
-    variance: Math.max(MIN_VARIANCE, computeVariance(sums, best)),
+    variance: estimateVariance(sums, best),
   };
 }
 
@@ -128,6 +132,15 @@
   return residual;
 }
 
+/** Few samples, perhaps from before and after a change, say little of their
+ * variance. */
+function estimateVariance(sums: KneeSums, knee: number): number {
+  const prior = VARIANCE_PRIOR_WEIGHT * DEFAULT_VARIANCE;
+  const measured = sums.weight * computeVariance(sums, knee);
+  const variance = (prior + measured) / (VARIANCE_PRIOR_WEIGHT + sums.weight);
+  return Math.max(MIN_VARIANCE, variance);
+}
+
 function computeVariance(sums: KneeSums, knee: number): number {
   const mean = sums.sums[knee] / sums.weight;
   return Math.max(0, sums.squares[knee] / sums.weight - mean * mean);
