Replay few samples over many senders

Cause: the observed load is 8 calls a second over 39 entries.

Change: a replay of it with shared samples.

--- a/packages/core/src/capacity/capacity.test.ts
+++ b/packages/core/src/capacity/capacity.test.ts
@@ -111,6 +111,11 @@
     endpoints: [STEADY, STEADY, createSteady(1.3), createSteady(4)],
     perSecond: 8,
   },
+  'few samples over many senders': {
+    endpoints: [STEADY, STEADY, createSteady(1.3), createSteady(4)],
+    senders: 39,
+    perSecond: 8,
+  },
   'senders that each see a part': {
     endpoints: [STEADY, createSteady(2), createSteady(4)],
     senders: 39,
