--- a/packages/calls/src/capacity_sharing.ts
+++ b/packages/calls/src/capacity_sharing.ts
@@ -32,7 +32,7 @@
 /** Minimum time per entry between two pushes, in ms: at most 100 pushes a second
  * arrive at the coordinator, whatever the number of entries. */
 const INTERVAL_PER_ENTRY_MS = 10;
-/** Numbers per knee in an estimate are limited by the receiver. */
+/** Most knees for which an estimate may have sums; more are malformed. */
 const MAX_KNEES = 16;
 
 const SAMPLE_SCHEMA = z.object({
@@ -116,6 +116,7 @@
     if (this.mode === 'off') return {};
     return {
       [PATH]: createHandler(PUSH_SCHEMA, push => {
+        // JSON leaves out a slowness that is undefined.
         const samples = push.samples.map(sample => ({
           ...sample,
           slowness: sample.slowness,
--- a/packages/core/src/capacity/capacity_estimator.ts
+++ b/packages/core/src/capacity/capacity_estimator.ts
@@ -21,6 +21,7 @@
   refreshView,
 } from './capacity_view';
 import {ExplorationBudget} from './exploration_budget';
+import {KNEE_SHARES} from './knee_fit';
 
 /**
  * `off`: fixed costs. `on`: estimates for every service. `reported`: estimates
@@ -216,6 +217,9 @@
   /** Takes in what a node knows that receives the samples of all nodes. An
    * estimate from more samples is kept: that node may have just begun. */
   importDigest(digest: CapacityDigest, nowMs: number): boolean {
+    // Another version of the software may compare other knees.
+    if (digest.sums.length !== KNEE_SHARES.length) return false;
+    if (digest.squares.length !== KNEE_SHARES.length) return false;
     const view = this.getView(digest.id);
     const {estimate} = view;
     estimate.scaleByAge(nowMs);
