--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -2,5 +2,6 @@
 export * from './call_forwarder';
 export * from './call_types';
 export * from './entry_drain';
+export * from './capacity_sharing';
 export * from './entry_role';
 export * from './suspicion_broadcaster';
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -115,6 +115,12 @@
     meaning:
       'A connection whose caller did not read or send was cut to release memory.',
   },
+  'capacity-changed': {
+    number: 209,
+    level: 'info',
+    meaning:
+      'The estimate of how much load an endpoint takes well has changed materially; at most once in 10 s for each endpoint.',
+  },
   'run-started': {
     number: 210,
     level: 'info',
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -2,6 +2,14 @@
 export const METRIC_HELP: Readonly<Record<string, string>> = {
   cloud_calls_total: 'Calls to the cloud, by path and status; 0 for none.',
   duty_writes_total: 'Writes of duties to the store, by outcome.',
+  capacity_changes_total:
+    'Material changes of an estimate of how much load an endpoint takes well.',
+  capacity_digests_total:
+    'Estimates of endpoints that this node took over from the coordinator.',
+  capacity_explored_total:
+    'Calls sent to an endpoint to learn whether it has become faster.',
+  capacity_pushes_total:
+    'Pushes of capacity samples to the coordinator, by result.',
   limited_answers_total: 'Answers of endpoints that state a rate limit.',
   limited_sends_denied_total:
     'Questions of this node that a keeper of a rate limit did not grant in full.',
