--- a/packages/core/src/duties/usage_collection.test.ts
+++ b/packages/core/src/duties/usage_collection.test.ts
@@ -65,7 +65,7 @@
 }
 
 /** Ten calls a second at each entry, pushed each second. */
-function playSeconds(
+function simulateSeconds(
   collection: UsageCollection,
   entries: readonly TestEntry[],
   fromS: number,
@@ -83,9 +83,9 @@
 test('a window is closed when all entries are past its end, and counts all starts', () => {
   const collection = createCollection();
   const entries = ENTRIES.map(name => new TestEntry(name));
-  playSeconds(collection, entries, 0, 7);
+  simulateSeconds(collection, entries, 0, 7);
   expect(closeAt(collection, 7_100)).toEqual([]);
-  playSeconds(collection, entries, 7, 8);
+  simulateSeconds(collection, entries, 7, 8);
   expect(closeAt(collection, 8_100)).toEqual([
     {number: FIRST, counts: {c: 150}},
   ]);
@@ -94,20 +94,20 @@
 test('an entry that is killed and replaced keeps its earlier starts', () => {
   const collection = createCollection();
   const entries = ENTRIES.map(name => new TestEntry(name));
-  playSeconds(collection, entries, 0, 3);
+  simulateSeconds(collection, entries, 0, 3);
   // The last second of e1 is never pushed.
   for (let i = 0; i < 10; i++) entries[0].run(3_050 + i * 100);
-  playSeconds(collection, entries.slice(1), 3, 4);
+  simulateSeconds(collection, entries.slice(1), 3, 4);
   const replaced = [new TestEntry('e1', 'e1b', 4_000), ...entries.slice(1)];
-  playSeconds(collection, replaced, 4, 8);
+  simulateSeconds(collection, replaced, 4, 8);
   expect(closeAt(collection, 8_100)[0].counts).toEqual({c: 140});
 });
 
 test('an entry that is lost delays a window until its latest time only', () => {
   const collection = createCollection();
   const entries = ENTRIES.map(name => new TestEntry(name));
-  playSeconds(collection, entries, 0, 5);
-  playSeconds(collection, entries.slice(1), 5, 13);
+  simulateSeconds(collection, entries, 0, 5);
+  simulateSeconds(collection, entries.slice(1), 5, 13);
   expect(closeAt(collection, 12_400)).toEqual([]);
   expect(closeAt(collection, 12_600)).toEqual([
     {number: FIRST, counts: {c: 150}},
@@ -117,7 +117,7 @@
 test('a push that is repeated, or sent whole to a new coordinator, changes no count', () => {
   const collection = createCollection();
   const entries = ENTRIES.map(name => new TestEntry(name));
-  playSeconds(collection, entries, 0, 8);
+  simulateSeconds(collection, entries, 0, 8);
   for (const entry of entries) {
     collection.receive(entry.createPush(8_000, true), 8_900);
   }
@@ -133,9 +133,9 @@
   const collection = createCollection();
   const entries = ENTRIES.map(name => new TestEntry(name));
   const id = entries[0].run(500);
-  playSeconds(collection, entries, 0, 1);
+  simulateSeconds(collection, entries, 0, 1);
   entries[0].ledger.withdrawStart(id);
-  playSeconds(collection, entries, 1, 8);
+  simulateSeconds(collection, entries, 1, 8);
   expect(closeAt(collection, 8_100)[0].counts).toEqual({c: 150});
 });
 
@@ -144,15 +144,15 @@
   stepMs => {
     const collection = createCollection();
     const entries = ENTRIES.map(name => new TestEntry(name));
-    playSeconds(collection, entries, 0, 3);
+    simulateSeconds(collection, entries, 0, 3);
     entries[1].wallStepMs = stepMs;
-    playSeconds(collection, entries, 3, 8);
+    simulateSeconds(collection, entries, 3, 8);
     expect(closeAt(collection, 8_100)).toEqual([
       {number: FIRST, counts: {c: 150}},
     ]);
     // The coordinator's own clock is one of the four.
     entries[1].wallStepMs = 0;
-    playSeconds(collection, entries, 8, 13);
+    simulateSeconds(collection, entries, 8, 13);
     const closed = closeAt(collection, 13_100, {wallStepMs: stepMs});
     expect(closed.map(({counts}) => counts)).toEqual([{c: 150}, {c: 150}]);
   },
@@ -161,8 +161,9 @@
 test('a window without calls is closed with empty counts', () => {
   const collection = createCollection();
   const entries = ENTRIES.map(name => new TestEntry(name));
-  for (const entry of entries)
+  for (const entry of entries) {
     collection.receive(entry.createPush(8_000), 8_003);
+  }
   expect(closeAt(collection, 8_100)).toEqual([{number: FIRST, counts: {}}]);
 });
 
@@ -182,9 +183,9 @@
   const entries = ENTRIES.map(name => new TestEntry(name));
   entries[0].run(200, 'stranger');
   entries[0].run(6_000, 'stranger');
-  playSeconds(collection, entries, 0, 6);
+  simulateSeconds(collection, entries, 0, 6);
   collection.setCustomers([], 2_000);
-  playSeconds(collection, entries, 6, 13);
+  simulateSeconds(collection, entries, 6, 13);
   const closed = closeAt(collection, 13_100);
   expect(closed.map(({counts}) => counts)).toEqual([{c: 150}, {}]);
 });
--- a/packages/duties/src/coordinator_duties.ts
+++ b/packages/duties/src/coordinator_duties.ts
@@ -2,7 +2,7 @@
 import {Clock, Scheduler, UsageCollection} from '@sassafrasspan/core';
 import {ClusterWatch, PeerRoutes, createHandler} from '@sassafrasspan/peers';
 import type {ObjectCollections} from '@sassafrasspan/platform';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
+import {EventLog, Metrics, waitMs} from '@sassafrasspan/runtime';
 import {ok} from 'neverthrow';
 import type {CloudPort} from './cloud_port';
 import {DutyHolder} from './duty_holder';
@@ -11,6 +11,9 @@
 
 /** Subject of the duty that reports usage. */
 const USAGE_SUBJECT = 'usage';
+/** Longest time that a release delays the hand-over of the role, in ms: a call
+ * to the store times out after 800 ms. */
+const MAX_RELEASE_MS = 1_500;
 
 export interface CoordinatorDutiesOptions {
   readonly name: string;
@@ -62,7 +65,7 @@
 
   /** Stops and releases the duties at a planned stop. */
   async release(): Promise<void> {
-    await this.usage.release();
+    await Promise.race([this.usage.release(), waitMs(MAX_RELEASE_MS)]);
   }
 
   /** Takes in the customers of a new configuration. */
--- a/packages/duties/src/usage_reporter.ts
+++ b/packages/duties/src/usage_reporter.ts
@@ -25,6 +25,9 @@
 const FIRST_RETRY_MS = 800;
 const MAX_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
+/** Time before a duty that was lost is claimed again, in ms: a coordinator that
+ * was replaced learns of it by then. */
+const LOST_PAUSE_MS = 2_000;
 /** Statuses below 500 after which the same report may be accepted later. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([408, 425, 429]);
 
@@ -48,6 +51,8 @@
   private isRunning = false;
   /** Undefined until the duty is claimed. */
   private history: UsageHistory | undefined;
+  /** Final states that the store may not have yet, by window. */
+  private readonly answered = new Map<number, UsageReport['state']>();
   /** Numbers of the windows that are in the store. */
   private readonly written = new Set<number>();
   private retryDelayMs = FIRST_RETRY_MS;
@@ -96,21 +101,30 @@
 
   /** Claims the duty if needed, closes windows and sends what is due. */
   async step(): Promise<void> {
+    const {clock, holder} = this.options;
+    if (clock.readMonotonicMs() < this.notBeforeMs) return;
     if (this.history === undefined) {
-      const claimed = await this.options.holder.claim();
+      const claimed = await holder.claim();
       if (claimed.isErr()) return;
-      this.history = parseHistory(claimed.value);
+      this.history = this.readHistory(claimed.value);
     }
-    const {clock, holder} = this.options;
-    if (clock.readMonotonicMs() < this.notBeforeMs) return;
     const next = this.closeWindows(this.history);
     if (listOpen(next).length === 0) return;
     const acted = await holder.act(next, permit =>
       this.sendReports(next, permit),
     );
     if (acted.isOk()) return;
-    // The store may hold another history; it is read before the next action.
-    if (acted.error.kind !== 'not-ready') this.history = undefined;
+    // The store may hold another history, which then counts.
+    this.history = undefined;
+    if (acted.error.kind === 'conflict') this.pauseUntil(LOST_PAUSE_MS);
+  }
+
+  private readHistory(payload: unknown): UsageHistory {
+    let history = parseHistory(payload);
+    for (const [number, state] of this.answered) {
+      history = withState(history, number, state);
+    }
+    return history;
   }
 
   private closeWindows(history: UsageHistory): UsageHistory {
@@ -130,14 +144,14 @@
   ): Promise<void> {
     this.history = written;
     this.recordWritten(written);
-    for (const report of listOpen(written)) {
+    const intervalMs = MS_PER_SECOND / this.options.callsPerSecond;
+    for (const [index, report] of listOpen(written).entries()) {
+      if (index > 0) await waitMs(intervalMs);
       if (!permit.isValid()) return;
       const answer = await this.options.cloud.reportUsage(report, permit);
       const isAnswered = this.recordAnswer(report, answer);
-      const intervalMs = MS_PER_SECOND / this.options.callsPerSecond;
       this.pauseUntil(isAnswered ? intervalMs : this.advanceRetryDelay());
       if (!isAnswered) return;
-      await waitMs(intervalMs);
     }
   }
 
@@ -163,6 +177,9 @@
     for (const number of this.written) {
       if (number < oldest) this.written.delete(number);
     }
+    for (const number of this.answered.keys()) {
+      if (number < oldest) this.answered.delete(number);
+    }
   }
 
   /** Returns whether the cloud has answered for good. */
@@ -190,6 +207,7 @@
     if (this.history !== undefined && (isAccepted || isRefused)) {
       const state = isAccepted ? 'accepted' : 'refused';
       this.history = withState(this.history, number, state);
+      this.answered.set(number, state);
     }
     const missing =
       this.history === undefined ? 0 : listOpen(this.history).length;
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -273,6 +273,7 @@
       if (next !== undefined) {
         return this.stopCoordinator(`VM retires, handed over to ${next}`);
       }
+      if (this.coordinator !== undefined) this.options.duties?.start();
     }
     const isDone = await source.reportDrained(vm);
     if (isDone) log.writeEvent('vm-retired', {vm});
