--- a/packages/core/src/duties/usage_collection.test.ts
+++ b/packages/core/src/duties/usage_collection.test.ts
@@ -178,6 +178,19 @@
   expect(closed.map(({number}) => number)).toEqual([FIRST + 1]);
 });
 
+test('nodes that have run for long before their first report leave out old windows', () => {
+  const collection = createCollection();
+  const atMs = 3_600_000;
+  const request = {entries: [], first: undefined};
+  const closed = collection.close({
+    ...request,
+    nowMs: atMs,
+    wallMs: EPOCH_MS + atMs,
+  });
+  expect(closed.length).toBeLessThanOrEqual(12);
+  expect(closed.at(-1)?.number).toBe(FIRST + 718);
+});
+
 test('a customer counts while a configuration since the window began had it', () => {
   const collection = createCollection();
   const entries = ENTRIES.map(name => new TestEntry(name));
--- a/packages/core/src/duties/usage_collection.ts
+++ b/packages/core/src/duties/usage_collection.ts
@@ -103,8 +103,7 @@
     const trueOffsetMs = this.computeTrueOffset(nowMs, wallMs);
     const {windowMs} = this;
     const trueNowMs = nowMs + trueOffsetMs;
-    const first =
-      request.first ?? Math.ceil((this.findStart() + trueOffsetMs) / windowMs);
+    const first = request.first ?? this.findFirst(trueNowMs, trueOffsetMs);
     const completeUntilMs = this.findCompleteUntil(request.entries);
     const closed: ClosedWindow[] = [];
     for (let number = first; ; number++) {
@@ -140,6 +139,14 @@
     return (upper + lower) / 2;
   }
 
+  /** Returns the first window that began after a node has started, of those for
+   * which starts are kept. */
+  private findFirst(trueNowMs: number, trueOffsetMs: number): number {
+    const startMs = this.findStart() + trueOffsetMs;
+    const keptFromMs = trueNowMs - KEPT_MS;
+    return Math.ceil(Math.max(startMs, keptFromMs) / this.windowMs);
+  }
+
   /** Returns the start of the node that has run longest, on this clock. */
   private findStart(): number {
     // The coordinator's own process started at 0 of its clock.
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -80,3 +80,4 @@
 export * from './duties/usage_ledger';
 export * from './duties/usage_collection';
 export * from './duties/usage_history';
+export * from './duties/scaling_plan';
