Complete whole groups first while capacity is short

Cause: items start in the order of their latest start, over all groups that trainers wait for. When capacity is short for long, each group gets a share of it, and nearly all are late; later steps do not allow their texts.

Change: the coordinator compares every 100 ms the items that must end until each run deadline with those that can, by limits, slots, token times and runs. When they are more for 1 s, it chooses the groups that can be complete in time, fewest missing tokens first, and starts their items before all others. Events scarcity-began and scarcity-ended, gauge batch_scarcity.

--- a/packages/core/src/batch/batch_endpoint.ts
+++ b/packages/core/src/batch/batch_endpoint.ts
@@ -186,6 +186,7 @@
       memory,
       startsLeft:
         this.starts?.count(this.engine?.limit ?? 0, nowMs) ?? Infinity,
+      startsPerSecond: this.engine?.limit ?? Infinity,
       msPerToken: this.tokenTime.getMsPerToken(),
     };
   }
--- a/packages/core/src/batch/batch_planner.ts
+++ b/packages/core/src/batch/batch_planner.ts
@@ -20,6 +20,8 @@
   planScoring,
 } from './scoring_plan';
 import {planRestarts} from './restart_plan';
+import {ScarcityPolicy, planScarcity} from './scarcity_plan';
+import {ScarcityTracker} from './scarcity_tracker';
 import {isOrphaned} from './orphaned_texts';
 import {
   ItemRank,
@@ -47,6 +49,8 @@
   readonly planMoves: typeof planMoves;
   readonly planRestarts: typeof planRestarts;
   readonly planScoring: ScoringPolicy;
+  /** Without it, capacity is never taken as short. */
+  readonly planScarcity?: ScarcityPolicy;
 }
 
 /** The policy used in production. */
@@ -55,6 +59,7 @@
   planMoves,
   planRestarts,
   planScoring,
+  planScarcity,
 };
 
 export interface BatchPlannerOptions {
@@ -69,7 +74,11 @@
 
 /** Plans the orders of a coordinator. */
 export class BatchPlanner {
-  private constructor(private readonly options: BatchPlannerOptions) {}
+  readonly scarcity: ScarcityTracker;
+
+  private constructor(private readonly options: BatchPlannerOptions) {
+    this.scarcity = ScarcityTracker.create(options.policy.planScarcity);
+  }
 
   static create(options: BatchPlannerOptions): BatchPlanner {
     return new BatchPlanner(options);
@@ -89,6 +98,7 @@
     for (const state of jobs.list()) state.expireAvoidedEndpoints(nowMs);
     const views = jobs.list().map(state => this.describeJob(state));
     if (mayStart) abandonOrphanedTexts(views, nowMs);
+    this.scarcity.update(views, () => this.describeEndpoints(nowMs), nowMs);
     if (mayStart) this.startItems(views, ['carried', 'wanted'], orders, nowMs);
     this.moveRuns(views, orders, nowMs);
     this.restartRuns(views, orders, nowMs);
@@ -205,7 +215,8 @@
     const endpoints = this.describeEndpoints(nowMs);
     const reservations = this.options.endpoints.getReservations();
     const {policy} = this.options;
-    const view = {jobs, endpoints, nowMs, ranks, reservations};
+    const {order} = this.scarcity;
+    const view = {jobs, endpoints, nowMs, ranks, reservations, order};
     const starts = policy.planStarts(view);
     for (const start of starts) {
       const {rank, remainingTokens, msPerToken, endpointId, item} = start;
--- a/packages/core/src/batch/batch_scheduler.ts
+++ b/packages/core/src/batch/batch_scheduler.ts
@@ -13,6 +13,7 @@
 import type {JobState} from './job_state';
 import {EngineState, RunUpdate, decodeEvents} from './run_messages';
 import {BatchEndpoints} from './batch_endpoints';
+import type {ScarcityChange} from './scarcity_tracker';
 import {
   PlannedScoring,
   ScoringTargetFinder,
@@ -259,6 +260,11 @@
     return isApplied ? item : undefined;
   }
 
+  /** Returns the latest begin or end of scarcity once, to be logged. */
+  takeScarcityChange(): ScarcityChange | undefined {
+    return this.planner.scarcity.takeChange();
+  }
+
   /** Returns the orders to send now and records them in the state. */
   plan(nowMs: number): EndpointOrders[] {
     const mayStart =
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -44,6 +44,8 @@
   /** Number of runs that may start now under the limit that the engine states;
    * Infinity if it states none. */
   readonly startsLeft: number;
+  /** Limit that the engine states, in runs a second; Infinity if it states none. */
+  readonly startsPerSecond: number;
   /** Time per token of a run without concurrent runs, in ms. */
   readonly msPerToken: number;
 }
@@ -91,6 +93,9 @@
   /** Reservations by item ID. */
   readonly reservations: ReadonlyMap<string, Reservation>;
   readonly nowMs: number;
+  /** Positions of the groups that start before others when capacity is short;
+   * undefined when it suffices. */
+  readonly order?: ReadonlyMap<GroupState, number>;
 }
 
 /** An item to start at an endpoint. */
@@ -124,6 +129,8 @@
   readonly remainingTokens: number;
   /** Latest time of a start that is expected to meet the job's deadline. */
   readonly latestStartAtMs: number;
+  /** Position of its group; the same for all groups that have none. */
+  readonly order: number;
 }
 
 /** An endpoint with the runs and the memory in use, including planned starts. */
@@ -147,7 +154,7 @@
   const hasFreeSlot = loads.some(load => load.runs < load.endpoint.slots);
   if (!hasFreeSlot && view.reservations.size === 0) return [];
   const candidates = view.jobs
-    .flatMap(job => listCandidates(job, view.nowMs))
+    .flatMap(job => listCandidates(job, view))
     .filter(candidate => view.ranks.includes(candidate.rank));
   candidates.sort(compareCandidates);
   const starts: PlannedStart[] = [];
@@ -171,16 +178,19 @@
   return starts;
 }
 
-/** Orders surplus items last, and the others by their latest start. */
+/** Orders items by the position of their group when capacity is short, and else
+ * surplus items last and the others by their latest start. */
 function compareCandidates(a: Candidate, b: Candidate): number {
   return (
+    a.order - b.order ||
     Number(a.rank === 'spare') - Number(b.rank === 'spare') ||
     a.latestStartAtMs - b.latestStartAtMs ||
     URGENCIES[a.rank] - URGENCIES[b.rank]
   );
 }
 
-function listCandidates(job: JobView, nowMs: number): Candidate[] {
+function listCandidates(job: JobView, view: StartView): Candidate[] {
+  const {order, nowMs} = view;
   if (job.state.isEnded) return [];
   const wanted = selectWantedGroups(job);
   return job.state.groups.flatMap(group =>
@@ -189,12 +199,19 @@
       .map(item => ({
         job,
         item,
-        rank: rankGroup(group, wanted),
+        rank: order?.has(group) ? rankChosen(group) : rankGroup(group, wanted),
+        order: order?.get(group) ?? Number.MAX_SAFE_INTEGER,
         ...predictItem(job, item),
       })),
   );
 }
 
+/** Returns the rank of the items of a group that was chosen while capacity is
+ * short. */
+function rankChosen(group: GroupState): ItemRank {
+  return group.isCarried ? 'carried' : 'wanted';
+}
+
 function predictItem(job: JobView, item: ItemState) {
   const remainingTokens = predictRemainingTokens(item, job.tokensPerEvent);
   const deadlineAtMs = job.state.acceptedAtMs + job.runDeadlineMs;
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -306,6 +306,18 @@
     meaning:
       'A scoring call has no route or an invalid body; its item waits without a score.',
   },
+  'scarcity-began': {
+    number: 525,
+    level: 'warn',
+    meaning:
+      'Endpoints cannot complete the groups that trainers wait for before their run deadlines: `chosenGroups` of the `neededGroups` start first; `possibleItems` of the `neededItems` that wait can end in time.',
+  },
+  'scarcity-ended': {
+    number: 526,
+    level: 'info',
+    meaning:
+      'Endpoints can complete all groups that trainers wait for again, or the steps concerned have ended; the figures are those of the last plan.',
+  },
   'version-published': {
     number: 600,
     level: 'info',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -70,6 +70,8 @@
 export * from './batch/start_plan';
 export * from './batch/item_scoring';
 export * from './batch/scoring_plan';
+export * from './batch/scarcity_plan';
+export * from './batch/scarcity_tracker';
 export * from './fleet/coordinator_election';
 export * from './batch/flush_decision';
 export * from './batch/move_plan';
--- a/packages/core/src/testing/batch_simulation.ts
+++ b/packages/core/src/testing/batch_simulation.ts
@@ -46,6 +46,8 @@
   /** Factor by which tokens take longer than usual. */
   slowdown: number;
   isDown: boolean;
+  /** Limit that it states, in requests per second; undefined for none. */
+  limit: number | undefined;
   /** Whether the coordinator cannot reach the agent. */
   isPartitioned: boolean;
   version: number;
@@ -96,6 +98,7 @@
       slots: options.slots ?? 12,
       slowdown: 1,
       isDown: false,
+      limit: undefined,
       isPartitioned: false,
       version: 1,
       software: FIRST_SOFTWARE,
@@ -164,6 +167,11 @@
     this.registerEngines();
   }
 
+  /** Passes the state of all engines on to the coordinator. */
+  syncEngines(): void {
+    for (const engine of this.engines) this.sync(engine);
+  }
+
   /** Advances the simulation by a time in ms. */
   advance(durationMs: number): void {
     const endMs = this.nowMs + durationMs;
@@ -281,6 +289,7 @@
       running: engine.runs.size,
       waiting: 0,
       memoryUsed: 0,
+      limit: engine.limit,
     };
     this.scheduler.applySync(engine.id, updates, state, this.nowMs);
   }
--- a/packages/core/src/testing/plan_views.ts
+++ b/packages/core/src/testing/plan_views.ts
@@ -29,6 +29,7 @@
     runs: 0,
     memory: [],
     startsLeft: Infinity,
+    startsPerSecond: Infinity,
     msPerToken: 0.65,
     ...values,
   };
--- a/packages/jobs/src/job_coordinator.ts
+++ b/packages/jobs/src/job_coordinator.ts
@@ -28,6 +28,7 @@
 import {JobExpiry} from './job_expiry';
 import {JobScorer} from './job_scorer';
 import type {ScoringCaller} from './scoring_caller';
+import {reportScarcity} from './scarcity_report';
 import {ServedJob} from './served_job';
 
 /** Maximum time between two plans, in ms; changes are planned at once. */
@@ -389,6 +390,8 @@
     for (const orders of this.scheduler.plan(this.readMs())) {
       void this.links.send(orders);
     }
+    const {log, metrics} = this.options;
+    reportScarcity(this.scheduler, log, metrics);
     this.scorer.startCalls();
   }
 }
