Choose no groups where later steps allow the texts of earlier ones

Change: once groups that came again show that their texts are allowed, the planner chooses no groups.

--- a/packages/core/src/batch/batch_planner.ts
+++ b/packages/core/src/batch/batch_planner.ts
@@ -254,6 +254,7 @@
       tokensPerEvent: serving[0]?.registration.tokensPerEvent ?? 1,
       runDeadlineMs: bounds?.runDeadlineMs ?? DEFAULT_RUN_DEADLINE_MS,
       minSurplusVersion: jobs.computeMinSurplusVersion(state.job),
+      canReuseTexts: jobs.canReuseTexts(state.job),
       isStopping: (runId, endpointId) =>
         endpoints.find(endpointId)?.runs.get(runId)?.isStopping ?? true,
     };
--- a/packages/core/src/batch/job_registry.ts
+++ b/packages/core/src/batch/job_registry.ts
@@ -77,6 +77,12 @@
     return job.minVersion + (this.versionGaps.get(job.model) ?? 0);
   }
 
+  /** Returns whether a later job with the same items as an earlier one of the model
+   * is known to have allowed its texts. */
+  canReuseTexts(job: BatchJob): boolean {
+    return this.versionGaps.get(job.model) === 0;
+  }
+
   /** Records a version that a trainer has announced; older ones are ignored. */
   setNewestVersion(
     model: string,
--- a/packages/core/src/batch/scarcity_plan.test.ts
+++ b/packages/core/src/batch/scarcity_plan.test.ts
@@ -18,7 +18,8 @@
       TOKENS[Math.floor(Number(itemId.slice(2)) / GROUP_SIZE)],
   });
   const view = createJobView(job);
-  return {...view, runDeadlineMs: view.runDeadlineMs + acceptedAtMs};
+  const runDeadlineMs = view.runDeadlineMs + acceptedAtMs;
+  return {...view, runDeadlineMs};
 }
 
 function listChosen(plan: ScarcityPlan | undefined): string[] | undefined {
@@ -30,6 +31,12 @@
   expect(planScarcity([createView()], [endpoint], 0)).toBeUndefined();
 });
 
+test('where later steps allow the texts, no groups are chosen', () => {
+  const endpoint = createEndpointView({startsPerSecond: 0.8, startsLeft: 1});
+  const view = {...createView(), canReuseTexts: true};
+  expect(planScarcity([view], [endpoint], 0)).toBeUndefined();
+});
+
 test('under a limit, whole groups are chosen that can be complete in time', () => {
   const endpoint = createEndpointView({startsPerSecond: 0.8, startsLeft: 1});
   const plan = planScarcity([createView()], [endpoint], 0);
--- a/packages/core/src/batch/scarcity_plan.ts
+++ b/packages/core/src/batch/scarcity_plan.ts
@@ -103,9 +103,11 @@
   const capacity = ServiceCapacity.create(endpoints, nowMs);
   const needed = jobs.flatMap(listNeededGroups);
   const shortage = measureShortage(needed, capacity, nowMs);
-  const groups = shortage.isShort ? jobs.flatMap(listOpenGroups) : [];
+  const isShort =
+    shortage.isShort && jobs.some(({canReuseTexts}) => !canReuseTexts);
+  const groups = isShort ? jobs.flatMap(listOpenGroups) : [];
   const {order, chosenGroups} = chooseGroups(groups, capacity, nowMs);
-  const {neededItems, possibleItems, isShort} = shortage;
+  const {neededItems, possibleItems} = shortage;
   const neededGroups = needed.length;
   const inputs = {neededGroups, neededItems, possibleItems, chosenGroups};
   return {order, isShort, inputs};
--- a/packages/core/src/testing/plan_views.ts
+++ b/packages/core/src/testing/plan_views.ts
@@ -10,6 +10,7 @@
     tokensPerEvent: 57,
     runDeadlineMs: 7_500,
     minSurplusVersion: 1,
+    canReuseTexts: false,
     isStopping: () => false,
   };
 }
--- a/packages/core/src/testing/trainer_simulation.ts
+++ b/packages/core/src/testing/trainer_simulation.ts
@@ -14,6 +14,8 @@
   readonly desiredGroups: number;
   readonly intervalMs: number;
   readonly firstAtMs: number;
+  /** Whether later steps allow the texts of earlier ones. */
+  readonly keepsTexts?: boolean;
   readonly estimateTokens: (itemId: string) => number;
 }
 
@@ -60,9 +62,8 @@
 
   private submit(simulation: BatchSimulation): void {
     const {name, groups, desiredGroups, estimateTokens} = this.options;
-    // Later steps do not allow texts of earlier ones, as with a trainer that
-    // publishes weights after each step.
-    const version = 2 + this.steps;
+    // A trainer that publishes weights after each step.
+    const version = this.options.keepsTexts ? 1 : 2 + this.steps;
     for (const engine of simulation.engines) {
       engine.version = Math.max(engine.version, version);
     }
