Choose groups only once texts are known to be lost in later steps

Cause: until a group had come again, the planner chose groups also where later steps allow texts.

Change: groups are chosen only once groups that came again have shown that their texts are not allowed.

Result: tests of packages/core/src/batch/scarcity pass.

--- a/packages/core/src/batch/job_registry.ts
+++ b/packages/core/src/batch/job_registry.ts
@@ -77,10 +77,10 @@
     return job.minVersion + (this.versionGaps.get(job.model) ?? 0);
   }
 
-  /** Returns whether a later job with the same items as an earlier one of the model
-   * is known to have allowed its texts. */
+  /** Returns whether later jobs with the same items may allow the texts of this one:
+   * none of its model has shown that they do not. */
   canReuseTexts(job: BatchJob): boolean {
-    return this.versionGaps.get(job.model) === 0;
+    return (this.versionGaps.get(job.model) ?? 0) <= 0;
   }
 
   /** Records a version that a trainer has announced; older ones are ignored. */
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -73,8 +73,7 @@
    * on.
    */
   readonly minSurplusVersion: number;
-  /** Whether it is known that later jobs with the same items allow the texts of
-   * this one. */
+  /** Whether later jobs with the same items may allow the texts of this one. */
   readonly canReuseTexts: boolean;
   /** Returns whether a run is being stopped, or is not tracked any more. */
   readonly isStopping: (runId: string, endpointId: string) => boolean;
