--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -7,6 +7,7 @@
  */
 
 import {DUTY_EVENTS} from './duty_events';
+import {LOAD_EVENTS} from './load_events';
 
 /** Severity of an event, with bunyan's names. */
 export type EventLevel = 'debug' | 'info' | 'warn' | 'error';
@@ -103,24 +104,6 @@
     level: 'info',
     meaning: 'An endpoint states no limit any more.',
   },
-  'memory-level-changed': {
-    number: 230,
-    level: 'warn',
-    meaning:
-      'The bytes held for callers have passed a limit: `normal`, `soft` (requests are refused) or `hard` (connections are cut).',
-  },
-  'connection-cut': {
-    number: 231,
-    level: 'warn',
-    meaning:
-      'A connection whose caller did not read or send was cut to release memory.',
-  },
-  'capacity-changed': {
-    number: 209,
-    level: 'info',
-    meaning:
-      'The estimate of how much load an endpoint takes well has changed materially; at most once in 10 s for each endpoint.',
-  },
   'run-started': {
     number: 210,
     level: 'info',
@@ -332,18 +315,6 @@
     meaning:
       'A scoring call has no route or an invalid body; its item waits without a score.',
   },
-  'scarcity-began': {
-    number: 525,
-    level: 'warn',
-    meaning:
-      'Endpoints cannot complete the groups that trainers wait for before their run deadlines: `chosenGroups` of the `neededGroups` start first; `possibleItems` of the `neededItems` that wait can end in time.',
-  },
-  'scarcity-ended': {
-    number: 526,
-    level: 'info',
-    meaning:
-      'Endpoints can complete all groups that trainers wait for again, or the steps concerned have ended; the figures are those of the last plan.',
-  },
   'version-published': {
     number: 600,
     level: 'info',
@@ -396,6 +367,7 @@
     meaning: 'The object API answers again.',
   },
   ...DUTY_EVENTS,
+  ...LOAD_EVENTS,
 } as const satisfies Record<string, EventEntry>;
 
 /** Name of a listed event. */
--- /dev/null
+++ b/packages/core/src/events/load_events.ts
@@ -0,0 +1,35 @@
+/** Events of memory, capacity and scarcity; a part of the event table. */
+import type {EventEntry} from './event_table';
+
+export const LOAD_EVENTS = {
+  'memory-level-changed': {
+    number: 230,
+    level: 'warn',
+    meaning:
+      'The bytes held for callers have passed a limit: `normal`, `soft` (requests are refused) or `hard` (connections are cut).',
+  },
+  'connection-cut': {
+    number: 231,
+    level: 'warn',
+    meaning:
+      'A connection whose caller did not read or send was cut to release memory.',
+  },
+  'capacity-changed': {
+    number: 209,
+    level: 'info',
+    meaning:
+      'The estimate of how much load an endpoint takes well has changed materially; at most once in 10 s for each endpoint.',
+  },
+  'scarcity-began': {
+    number: 525,
+    level: 'warn',
+    meaning:
+      'Endpoints cannot complete the groups that trainers wait for before their run deadlines: `chosenGroups` of the `neededGroups` start first; `possibleItems` of the `neededItems` that wait can end in time.',
+  },
+  'scarcity-ended': {
+    number: 526,
+    level: 'info',
+    meaning:
+      'Endpoints can complete all groups that trainers wait for again, or the steps concerned have ended; the figures are those of the last plan.',
+  },
+} as const satisfies Record<string, EventEntry>;
