Turn plans for a shortage of capacity on by a setting

Cause: what is new must take effect only where settings call for it; the plan was in force on every deployment. Change: scarcityPlan, off by default.

--- a/packages/core/src/batch/batch_planner.ts
+++ b/packages/core/src/batch/batch_planner.ts
@@ -62,6 +62,12 @@
   planScarcity,
 };
 
+/** The policy of deployments that do not plan for a shortage of capacity. */
+export const POLICY_WITHOUT_SCARCITY: SchedulingPolicy = {
+  ...DEFAULT_POLICY,
+  planScarcity: undefined,
+};
+
 export interface BatchPlannerOptions {
   readonly jobs: JobRegistry;
   readonly endpoints: BatchEndpoints;
--- a/packages/core/src/batch/scarcity_replay.test.ts
+++ b/packages/core/src/batch/scarcity_replay.test.ts
@@ -2,13 +2,16 @@
  * time than one that starts all groups. */
 import {createRandomSource} from '../shared/clock';
 import {BatchSimulation, SimulatedTrainer} from '../testing';
-import {DEFAULT_POLICY, SchedulingPolicy} from './batch_planner';
+import {
+  DEFAULT_POLICY,
+  POLICY_WITHOUT_SCARCITY,
+  SchedulingPolicy,
+} from './batch_planner';
 
 const TOKENS_PER_EVENT = 57;
 const ENGINES = 8;
 const SEED = 1;
 /** The plan without regard to scarcity. */
-const EARLIER: SchedulingPolicy = {...DEFAULT_POLICY, planScarcity: undefined};
 
 interface Day {
   readonly trainers: number;
@@ -72,7 +75,7 @@
 }
 
 function compare(day: Day) {
-  const earlier = replay(day, EARLIER);
+  const earlier = replay(day, POLICY_WITHOUT_SCARCITY);
   const now = replay(day, DEFAULT_POLICY);
   expect(now.awaited).toBe(earlier.awaited);
   return {earlier, now};
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -13,8 +13,10 @@
   CapacityMode,
   Clock,
   CoordinatorRecord,
+  DEFAULT_POLICY,
   EndpointSelector,
   JobBounds,
+  POLICY_WITHOUT_SCARCITY,
   RandomSource,
   RouteBurnTracker,
   BatchEndpointRegistration,
@@ -81,6 +83,8 @@
   readonly burn: RouteBurnTracker;
   /** Undefined if there are none. */
   readonly duties?: RoleDuties;
+  /** Whether whole groups go first while capacity is short; false if absent. */
+  readonly plansForScarcity?: boolean;
   /** Whether learned capacity decides on the endpoints of scoring calls; off if absent. */
   readonly capacityEstimates?: CapacityMode;
 }
@@ -207,6 +211,9 @@
     const coordinator = JobCoordinator.create({
       ...options,
       epoch: record.epoch,
+      policy: options.plansForScarcity
+        ? DEFAULT_POLICY
+        : POLICY_WITHOUT_SCARCITY,
       scoringCaller: this.createScoringCaller(),
       findBounds: job => this.findBounds(job),
       onSuperseded: detail => {
--- a/packages/jobs/src/job_coordinator.ts
+++ b/packages/jobs/src/job_coordinator.ts
@@ -11,6 +11,7 @@
   BatchScheduler,
   JobProgress,
   JobState,
+  SchedulingPolicy,
   RouteBurnTracker,
   ServiceError,
   createError,
@@ -56,6 +57,7 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly burn: RouteBurnTracker;
+  readonly policy: SchedulingPolicy;
   /** Called when a later coordinator has taken over. */
   readonly onSuperseded: (detail: string) => void;
 }
@@ -81,15 +83,13 @@
 
   private constructor(private readonly options: JobCoordinatorOptions) {
     this.scheduler = BatchScheduler.create({
-      findBounds: options.findBounds,
-      epoch: options.epoch,
+      ...options,
       createRunId: () => `${options.epoch}.${(this.runCount += 1)}`,
     });
-    const {name, epoch, peers, clock, log, onSuperseded} = options;
+    const {name, epoch, jobStore, peers, clock, log, onSuperseded} = options;
     this.checkpoint = CheckpointWriter.create({
       listJobs: () => this.scheduler.listOpenJobs(),
-      jobStore: options.jobStore,
-      clock: options.clock,
+      ...{jobStore, clock},
     });
     this.endWriter = JobEndWriter.create(options.jobStore);
     this.expiry = JobExpiry.create(options);
