--- a/review/lib/engine.ts
+++ b/review/lib/engine.ts
@@ -34,6 +34,9 @@
   readonly itemId: string;
   readonly atMs: number;
   readonly resumedAfter: number;
+  /** When the run ended, and whether it was whole; undefined while it runs. */
+  endedAtMs: number | undefined;
+  isWhole: boolean;
 }
 
 export class Engine {
@@ -174,9 +177,16 @@
     const itemId = String(request.headers['request-id']);
     const model = String(request.headers['model']);
     const resumedAfter = Number(request.headers['last-event-id'] ?? 0);
-    this.runs.push({itemId, atMs: Date.now(), resumedAfter});
+    const run: SeenRun = {
+      ...{itemId, atMs: Date.now(), resumedAfter},
+      ...{endedAtMs: undefined, isWhole: false},
+    };
+    this.runs.push(run);
     this.running += 1;
-    response.on('close', () => (this.running -= 1));
+    response.on('close', () => {
+      this.running -= 1;
+      run.endedAtMs = Date.now();
+    });
     let known = this.getVersion(model);
     response.writeHead(200, {
       'Content-Type': 'text/event-stream',
@@ -187,7 +197,10 @@
     const count = this.options.countEvents(itemId);
     const writeNext = (number: number) => {
       if (response.destroyed) return;
-      if (number > count) return void response.end();
+      if (number > count) {
+        run.isWhole = true;
+        return void response.end();
+      }
       const version = this.getVersion(model);
       const change = version === known ? '' : `weight-versions: ${version}\n`;
       known = version;
