--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -6,7 +6,7 @@
 import {ChildProcess, spawn} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import type {Server} from 'node:http';
-import {connect, createServer} from 'node:net';
+import {Server as NetServer, connect, createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {LoopbackProxy} from '../../platform/src/testing/loopback_proxy';
@@ -66,21 +66,33 @@
   return run.split(' ');
 }
 
-/** Picks a second octet under which no address is in use. */
-async function pickNetwork(): Promise<number> {
+/** A loopback network that no other case uses while the server listens. */
+interface Network {
+  readonly octet: number;
+  readonly reservation: NetServer;
+}
+
+/** Picks a second octet under which no address is in use, and reserves it. */
+async function reserveNetwork(): Promise<Network> {
   for (let attempt = 0; attempt < 50; attempt++) {
     const octet = 20 + Math.floor(Math.random() * 200);
-    const isFree = await canListen(`127.${octet}.1.1`, CALLERS_PORT);
-    if (isFree) return octet;
+    const reservation = await listen(`127.${octet}.250.1`, CALLERS_PORT);
+    if (reservation === undefined) continue;
+    const probe = await listen(`127.${octet}.1.1`, CALLERS_PORT);
+    if (probe !== undefined) {
+      await new Promise(resolve => probe.close(resolve));
+      return {octet, reservation};
+    }
+    reservation.close();
   }
   throw new Error('no free loopback network');
 }
 
-function canListen(host: string, port: number): Promise<boolean> {
+function listen(host: string, port: number): Promise<NetServer | undefined> {
   return new Promise(resolve => {
     const server = createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, host, () => server.close(() => resolve(true)));
+    server.once('error', () => resolve(undefined));
+    server.listen(port, host, () => resolve(server));
   });
 }
 
@@ -91,10 +103,14 @@
 
   private constructor(
     readonly store: StoreStandin,
-    readonly network: number,
+    private readonly reserved: Network,
     private readonly folder: string,
   ) {}
 
+  get network(): number {
+    return this.reserved.octet;
+  }
+
   /** Starts the store and, once `prepare` has filled it, the processes. */
   static async start(
     size: Size,
@@ -103,7 +119,7 @@
     const store = await StoreStandin.start();
     keepIdleChannels(store);
     const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
-    const deployment = new Deployment(store, await pickNetwork(), folder);
+    const deployment = new Deployment(store, await reserveNetwork(), folder);
     try {
       await prepare(deployment);
       for (const role of ['home', 'agent', 'entry'] as const) {
@@ -187,6 +203,7 @@
       }),
     );
     this.store.stop();
+    this.reserved.reservation.close();
     rmSync(this.folder, {recursive: true, force: true});
   }
 
