Drop pending load orders of replaced coordinators at the agent

Hypotheses: (1) the agent keeps one pending order a model with the number it came with, and sends them in the order of their models' arrival; (2) an order of the earlier epoch reaches the agent late and is accepted; (3) a call whose answer was lost is repeated below the loader. In the record of the case the order with number 2 leaves the agent 0.9 s after that with number 3, two seconds after its coordinator had stopped; agents log no commands after home-changed to epoch 3 (against 2), and orders are sent without mayRetry, one at a time (against 3). The test of the loader alone shows 1.

Cause: orders of an earlier epoch stayed pending when a later coordinator was accepted.

Change: the loader knows the newest epoch, drops pending orders of earlier ones (swap-dropped, 606) and takes none of them. The new coordinator orders again what is still needed, from the engine's state. A pending order of an earlier epoch no longer wins by its version either.

Related paths read: orders of the project's own agents take the number that they hold when they send (engine_swapper.ts); reports of duties are sent under a lease, not queued. Orders of one coordinator all bear its epoch.

--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -342,6 +342,12 @@
     level: 'warn',
     meaning: 'Another agent holds a newer fencing number.',
   },
+  'swap-dropped': {
+    number: 606,
+    level: 'info',
+    meaning:
+      'An agent dropped an order that it had not sent yet, since a coordinator of a later epoch has taken over.',
+  },
   'platform-down': {
     number: 700,
     level: 'warn',
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -223,6 +223,7 @@
     if (epoch > this.coordinator.epoch) {
       this.coordinator = {name, epoch, lastContactAtMs: this.readMs()};
       this.runs.resetAcknowledgements();
+      this.options.loader.startEpoch(epoch);
       this.hasEngineChanged = true;
       this.options.log.writeEvent('home-changed', {home: name, epoch});
       this.syncWaiters.wakeAll();
--- a/packages/runs/src/weight_loader.ts
+++ b/packages/runs/src/weight_loader.ts
@@ -1,9 +1,10 @@
 /**
  * Loads weight versions into an agent's local engine. Only this agent controls
  * its engine. The fencing number of an order is the epoch of the coordinator
- * that sent it, and orders of earlier coordinators are refused. An order whose
- * answer was lost may still take effect seconds later, so the engine's own
- * report decides what to do next.
+ * that sent it. Only orders of the newest coordinator are pending, so that the
+ * fencing numbers that the engine receives never decrease, also after it was
+ * unreachable for several epochs. An order whose answer was lost may still take
+ * effect seconds later, so the engine's own report decides what to do next.
  */
 import type {Clock, LoadOrder} from '@sassafrasspan/core';
 import type {EventLog} from '@sassafrasspan/runtime';
@@ -32,6 +33,8 @@
 export class WeightLoader {
   /** Orders whose version the engine hasn't reported yet, by model. */
   private readonly pendingOrders = new Map<string, LoadOrder>();
+  /** Epoch of the newest coordinator, whose orders alone are sent. */
+  private epoch = 0;
   private nextOrderAtMs = 0;
   private isSending = false;
 
@@ -41,8 +44,27 @@
     return new WeightLoader(options);
   }
 
-  /** Adds an order of the coordinator, unless a newer version is pending. */
+  /**
+   * Drops the pending orders of earlier coordinators. The new one orders again
+   * whatever is still needed, from the engine's state.
+   */
+  startEpoch(epoch: number): void {
+    if (epoch <= this.epoch) return;
+    this.epoch = epoch;
+    for (const {model, version, fencingNumber} of this.pendingOrders.values()) {
+      this.pendingOrders.delete(model);
+      const fields = {model, version, fencingNumber, epoch};
+      this.options.log.writeEvent('swap-dropped', fields);
+    }
+  }
+
+  /**
+   * Adds an order of the newest coordinator, unless a newer version is pending.
+   * An order of an earlier coordinator has no effect.
+   */
   request(order: LoadOrder): void {
+    if (order.fencingNumber < this.epoch) return;
+    this.startEpoch(order.fencingNumber);
     const known = this.pendingOrders.get(order.model);
     if (known !== undefined && known.version > order.version) return;
     this.pendingOrders.set(order.model, order);
