Let a restarted agent order no loads before it knows the newest epoch

Cause: an agent learns epochs from the coordinators that call it. One that starts again knows none and obeys a coordinator that was replaced before: its engine then gets a lower fencing number than its earlier process had sent. It takes a coordinator that was paused and has no path to the store, and the loss of the newer one.

Change: an agent reads the coordinator's record from the store once after its start, and sends no order before; orders of earlier epochs are dropped. One read of the store for each start of an agent. The election reads the record by the same method.

--- a/packages/jobs/src/coordinator_election.ts
+++ b/packages/jobs/src/coordinator_election.ts
@@ -14,7 +14,6 @@
   CLUSTER_COLLECTION,
   ClusterWatch,
   COORDINATOR_OBJECT,
-  COORDINATOR_SCHEMA,
   PeerClient,
   VersionedCoordinator,
 } from '@sassafrasspan/peers';
@@ -226,20 +225,13 @@
 
   /** Reads who won: a write whose answer was lost may have succeeded. */
   private async verifyClaim(claimed: CoordinatorRecord): Promise<boolean> {
-    const {store, cluster} = this.options;
-    const object = await store.readObject(
-      CLUSTER_COLLECTION,
-      COORDINATOR_OBJECT,
-    );
-    if (object.isErr() || object.value === undefined) return false;
-    const parsed = COORDINATOR_SCHEMA.safeParse(object.value.value);
-    if (!parsed.success) return false;
-    const record = parsed.data;
-    cluster.acceptCoordinator({record, version: object.value.version});
+    const {cluster, onElected} = this.options;
+    if (!(await cluster.readCoordinator())) return false;
+    const record = cluster.getCoordinator()?.record;
     const isOwn =
-      record.epoch === claimed.epoch &&
+      record?.epoch === claimed.epoch &&
       record.incarnation === claimed.incarnation;
-    if (isOwn) this.options.onElected(record);
+    if (isOwn) onElected(record);
     return isOwn;
   }
 }
--- a/packages/peers/src/cluster_watch.ts
+++ b/packages/peers/src/cluster_watch.ts
@@ -25,6 +25,8 @@
 const MIN_WATCH_INTERVAL_MS = 300;
 /** Mean delay before a failed registration is retried, in ms. */
 const REGISTER_RETRY_MS = 500;
+/** Mean delay before a failed read of the coordinator is retried, in ms. */
+const READ_RETRY_MS = 300;
 
 const NODE_SCHEMA = z.object({
   name: z.string(),
@@ -68,6 +70,7 @@
   private readonly nodes = new Map<string, RegisteredNode>();
   private coordinator: VersionedCoordinator | undefined;
   private isListed = false;
+  private isCoordinatorRead = false;
   private readonly watch: CollectionWatch;
 
   private constructor(private readonly options: ClusterWatchOptions) {
@@ -120,6 +123,34 @@
     if (coordinator.record.epoch >= knownEpoch) this.coordinator = coordinator;
   }
 
+  /** Reads the coordinator's record once; returns whether the store answered. */
+  async readCoordinator(): Promise<boolean> {
+    const object = await this.options.store.readObject(
+      CLUSTER_COLLECTION,
+      COORDINATOR_OBJECT,
+    );
+    if (object.isErr()) return false;
+    if (object.value !== undefined) this.applyObject(object.value);
+    this.isCoordinatorRead = true;
+    return true;
+  }
+
+  /** Reads the coordinator's record; retries until the store answers. */
+  async fetchCoordinator(): Promise<void> {
+    while (!(await this.readCoordinator())) {
+      await waitMs(READ_RETRY_MS * (0.5 + this.options.random()));
+    }
+  }
+
+  /**
+   * Returns the epoch of the newest coordinator that is known, 0 if there was
+   * none yet; undefined until the store was read.
+   */
+  getEpoch(): number | undefined {
+    if (!this.isListed && !this.isCoordinatorRead) return undefined;
+    return this.coordinator?.record.epoch ?? 0;
+  }
+
   /** Lists the nodes of a role, sorted by name. */
   listNodes(role: RegisteredNode['role']): RegisteredNode[] {
     return [...this.nodes.values()]
--- a/packages/runs/src/agent_service.test.ts
+++ b/packages/runs/src/agent_service.test.ts
@@ -57,6 +57,7 @@
     },
     control,
     loader,
+    findEpoch: () => 0,
     rates: EngineRates.create({...common, metrics: Metrics.create()}),
     metrics: Metrics.create(),
   });
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -55,6 +55,11 @@
   readonly runner: ItemRunner;
   readonly control: EngineControl;
   readonly loader: WeightLoader;
+  /**
+   * Returns the epoch of the newest coordinator by the store, 0 if there was none
+   * yet; undefined until the store was read since the process started.
+   */
+  readonly findEpoch: () => number | undefined;
   /** Keeps the limit that the engine states. */
   readonly rates: EngineRates;
   readonly clock: Clock;
@@ -180,7 +185,19 @@
       ? selectState(report.value)
       : UNREACHABLE_ENGINE;
     this.recordEngine(state);
-    if (report.isOk()) void this.options.loader.advance(report.value);
+    if (report.isOk()) this.advanceLoads(report.value);
+  }
+
+  /**
+   * Sends the next order, once the newest epoch is known: an earlier process of
+   * this agent may have obeyed a later coordinator than this one has met.
+   */
+  private advanceLoads(report: EngineReport): void {
+    const {loader, findEpoch} = this.options;
+    const epoch = findEpoch();
+    if (epoch === undefined) return;
+    loader.startEpoch(epoch);
+    void loader.advance(report);
   }
 
   private recordEngine(state: EngineState): void {
