Keep a load order that replaced the one under way

Cause: the answer to an order removes the pending order of its model, also when another one took its place while the call was under way, as after a hand-over.

Change: an answer removes only the order that it answers. The new test of the loader fails before (nothing pending).

--- a/packages/runs/src/weight_loader.test.ts
+++ b/packages/runs/src/weight_loader.test.ts
@@ -19,28 +19,40 @@
   };
 }
 
+/** Report of an engine that has taken one order and does not state its versions. */
+const UNLOADED_REPORT: EngineReport = {
+  isReachable: true,
+  versions: {},
+  isBusy: false,
+  running: 0,
+  waiting: 0,
+  memoryUsed: 0,
+  orderSequence: 1,
+};
+
 /** Creates a loader and an engine that loads at once what it is ordered. */
 function createEngine() {
   const versions: Record<string, number> = {};
   const orders: VersionOrder[] = [];
   let nowMs = 0;
   let isReachable = true;
-  const report = (): EngineReport => ({
-    isReachable: true,
+  let onOrder = () => undefined as void;
+  const createReport = (): EngineReport => ({
+    ...UNLOADED_REPORT,
     versions: {...versions},
-    isBusy: false,
-    running: 0,
-    waiting: 0,
-    memoryUsed: 0,
     orderSequence: orders.length,
   });
   const loader = WeightLoader.create({
     holder: 'vm',
     control: {
-      readReport: async () => ok(report()),
+      readReport: async () => ok(createReport()),
       orderVersion: async order => {
         if (!isReachable) return err(createError('endpoint-failed', 'dark'));
         orders.push(order);
+        onOrder();
+        if ((versions[order.model] ?? 0) >= order.version) {
+          return ok('holds' as const);
+        }
         versions[order.model] = order.version;
         return ok('accepted' as const);
       },
@@ -54,11 +66,15 @@
     setReachable: (value: boolean) => {
       isReachable = value;
     },
+    /** Calls a function while the engine handles an order. */
+    interceptOrder: (call: () => void) => {
+      onOrder = call;
+    },
     /** Advances the loader until nothing is pending. */
     async settle() {
       for (let round = 0; round < 20 && loader.isPending(); round++) {
         nowMs += 10_000;
-        await loader.advance(report());
+        await loader.advance(createReport());
       }
     },
   };
@@ -112,3 +128,16 @@
     isPending: false,
   });
 });
+
+// Guards against loads that nobody orders, after a hand-over within a call.
+test('an answer to an order leaves the order that replaced it pending', async () => {
+  const {loader, orders, interceptOrder, settle} = createEngine();
+  loader.request(createOrder('m', 2, 1));
+  await settle();
+  interceptOrder(() => loader.request(createOrder('m', 3, 2)));
+  loader.request(createOrder('m', 2, 1));
+  await loader.advance(UNLOADED_REPORT);
+  expect(loader.isPending()).toBe(true);
+  await settle();
+  expect(orders.map(order => order.version)).toEqual([2, 2, 3]);
+});
--- a/packages/runs/src/weight_loader.ts
+++ b/packages/runs/src/weight_loader.ts
@@ -96,11 +96,18 @@
 
   private finishOrder(order: LoadOrder): void {
     const {model, version} = order;
-    this.pendingOrders.delete(model);
+    this.removeOrder(order);
     this.nextOrderAtMs = 0;
     this.options.log.writeEvent('swap-finished', {model, version});
   }
 
+  /** Removes an order, unless another one has replaced it meanwhile. */
+  private removeOrder(order: LoadOrder): void {
+    const {model} = order;
+    if (this.pendingOrders.get(model) !== order) return;
+    this.pendingOrders.delete(model);
+  }
+
   private async sendOrder(
     order: LoadOrder,
     report: EngineReport,
@@ -133,7 +140,7 @@
       return this.scheduleNextOrder(ACCEPTED_DELAY_MS);
     }
     log.writeEvent('swap-failed', {model, version, detail: answer.value});
-    if (answer.value === 'refused') this.pendingOrders.delete(model);
+    if (answer.value === 'refused') this.removeOrder(order);
     this.scheduleNextOrder(RETRY_DELAY_MS);
   }
 
