--- a/packages/runs/src/weight_loader.test.ts
+++ b/packages/runs/src/weight_loader.test.ts
@@ -36,7 +36,7 @@
   const orders: VersionOrder[] = [];
   let nowMs = 0;
   let isReachable = true;
-  let onOrder = () => undefined as void;
+  let handleOrder = () => undefined as void;
   const createReport = (): EngineReport => ({
     ...UNLOADED_REPORT,
     versions: {...versions},
@@ -49,7 +49,7 @@
       orderVersion: async order => {
         if (!isReachable) return err(createError('endpoint-failed', 'dark'));
         orders.push(order);
-        onOrder();
+        handleOrder();
         if ((versions[order.model] ?? 0) >= order.version) {
           return ok('holds' as const);
         }
@@ -68,7 +68,7 @@
     },
     /** Calls a function while the engine handles an order. */
     interceptOrder: (call: () => void) => {
-      onOrder = call;
+      handleOrder = call;
     },
     /** Advances the loader until nothing is pending. */
     async settle() {
