Let streams go on only with the software that began them, also unnamed

Seen with separate processes: a call that takes up a stream by Last-Event-Id without naming the call that began it was placed like a new one, and joined text of two software versions without any fault. One that names it was refused (503, 12 of 12) after all entries had been killed, since entries alone kept where streams began.

Hypotheses: entries forget; unnamed take-ups are placed freely; the kept origin is wrong. The first two are seen, the third not (12 of 12 named take-ups go on where they began without a kill).

Change: where a stream began is kept by two nodes of other roles, too, under the id of its call and for equal requests; unnamed take-ups go on where all equal requests began, else they are refused as not run.

--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -31,6 +31,8 @@
   readonly mayHedge?: boolean;
   /** Id of the call that began the stream which this one takes up. */
   readonly resumes?: string;
+  /** Whether it takes up a stream, also if it does not name the call. */
+  readonly isTakeUp?: boolean;
   /** Called with the status of each complete answer, also of those after which
    * the call is retried, and where it was made. */
   readonly onAnswered?: (status: number, origin: StreamOrigin) => void;
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -16,7 +16,12 @@
   decideAccess,
 } from '@sassafrasspan/core';
 import {EndpointRates} from '@sassafrasspan/limits';
-import type {ClusterWatch, PeerClient, PeerRoutes} from '@sassafrasspan/peers';
+import {
+  ClusterWatch,
+  PeerClient,
+  PeerRoutes,
+  StreamOriginKeeper,
+} from '@sassafrasspan/peers';
 import {FleetSource, FleetState} from '@sassafrasspan/platform';
 import {
   EventLog,
@@ -86,6 +91,7 @@
   private readonly forwarder: CallForwarder;
   private readonly broadcaster: SuspicionBroadcaster;
   private readonly rates: EndpointRates;
+  private readonly originKeeper: StreamOriginKeeper;
   private readonly streams: StreamForwarder;
   private readonly capacity: CapacitySharing;
   private isDraining = false;
@@ -103,6 +109,7 @@
         this.capacity.removeUnregistered(new Set(endpoints.map(({id}) => id)));
       },
     });
+    this.originKeeper = StreamOriginKeeper.create(clock);
     this.capacity = CapacitySharing.create(options);
     this.rates = EndpointRates.create(options);
     const quarantine = Quarantine.create(MAX_CRASHES);
@@ -129,7 +136,8 @@
       starts: options.starts,
     });
     const {forwarder} = this;
-    this.streams = StreamForwarder.create({...options, forwarder});
+    const {originKeeper: keeper} = this;
+    this.streams = StreamForwarder.create({...options, forwarder, keeper});
   }
 
   static create(options: EntryRoleOptions): EntryRole {
@@ -148,7 +156,7 @@
     return {
       ...this.broadcaster.createRoutes(),
       ...this.rates.createRoutes(),
-      ...this.streams.createRoutes(),
+      ...this.originKeeper.createRoutes(),
     };
   }
 
