--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -10,6 +10,7 @@
   HttpFailure,
   HttpReply,
   PeerAddress,
+  encodeJson,
   parseJson,
 } from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
@@ -46,12 +47,14 @@
   }
 
   async call<T>(call: PeerCall<T>): Promise<Result<T, ServiceError>> {
+    const body = encodeJson(call.body);
+    if (body.isErr()) return err({...body.error, outcome: 'not-run'});
     const reply = await this.httpClient.call({
       address: call.address,
       method: 'POST',
       path: call.path,
       headers: JSON_HEADERS,
-      body: JSON.stringify(call.body),
+      body: body.value,
       timeoutMs: call.timeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       // Calls between nodes are idempotent, so they can be repeated.
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -5,6 +5,7 @@
   EventLog,
   PeerAddress,
   describeError,
+  encodeJson,
   parseJson,
   readBody,
 } from '@sassafrasspan/runtime';
@@ -91,9 +92,15 @@
       if (!response.writableFinished) controller.abort();
     });
     const result = await this.run(path, request, controller.signal);
+    const encoded = result.andThen(encodeJson);
+    if (result.isOk() && encoded.isErr()) {
+      this.log.writeEvent('process-fault', {path, stack: encoded.error.detail});
+    }
     if (response.destroyed) return;
-    response.statusCode = result.isOk() ? 200 : STATUS_ERROR;
-    response.end(JSON.stringify(result.isOk() ? result.value : result.error));
+    response.statusCode = encoded.isOk() ? 200 : STATUS_ERROR;
+    response.end(
+      encoded.isOk() ? encoded.value : JSON.stringify(encoded.error),
+    );
   }
 
   private async run(
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -25,6 +25,8 @@
 /** Idle time after which the kernel sends TCP keep-alive probes. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 
+const MAX_PORT = 65_535;
+
 /** Host and port of a peer. */
 export interface PeerAddress {
   readonly host: string;
@@ -43,7 +45,7 @@
   /** Limit for connecting; `DEFAULT_CONNECT_TIMEOUT_MS` by default. */
   readonly connectTimeoutMs?: number;
   /** Maximum size of a buffered response body, beyond which the call fails as
-   * `broken`; `DEFAULT_MAX_BODY_BYTES` by default. */
+   * `oversized`; `DEFAULT_MAX_BODY_BYTES` by default. */
   readonly maxBodyBytes?: number;
   /**
    * Whether the call may be retried once, on a new connection, when a reused
@@ -89,9 +91,10 @@
  * Why a call failed. `refused`: no connection could be made. `unreachable`:
  * connecting timed out. `timeout`: the call's time limit passed. `broken`: the
  * connection broke, or the response was invalid or belonged to another call.
+ * `oversized`: the response was larger than allowed.
  */
 export type HttpFailureReason =
-  'refused' | 'unreachable' | 'timeout' | 'broken' | 'cancelled';
+  'refused' | 'unreachable' | 'timeout' | 'broken' | 'oversized' | 'cancelled';
 
 /** A call that ended without a complete response. */
 export interface HttpFailure {
@@ -108,8 +111,9 @@
 /** Parses `host:port`; undefined for anything else. */
 export function parseAddress(text: string): PeerAddress | undefined {
   const colon = text.lastIndexOf(':');
-  const port = Number(text.slice(colon + 1));
-  const isPort = Number.isInteger(port) && port > 0 && port <= 65_535;
+  const digits = text.slice(colon + 1);
+  const port = Number(digits);
+  const isPort = /^\d+$/.test(digits) && port > 0 && port <= MAX_PORT;
   if (colon < 1 || !isPort) return undefined;
   return {host: text.slice(0, colon), port};
 }
@@ -168,7 +172,7 @@
           size += chunk.length;
           if (size <= maxBodyBytes) return;
           chunks.length = 0;
-          activeCall.fail('broken', `body of over ${maxBodyBytes} bytes`);
+          activeCall.fail('oversized', `body of over ${maxBodyBytes} bytes`);
         });
         waitForEnd(message, activeCall.handleReset, () => {
           activeCall.finish();
--- a/packages/runtime/src/http_server.ts
+++ b/packages/runtime/src/http_server.ts
@@ -9,6 +9,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {formatErrorReply, formatRawError} from './http_errors';
 import {describeError} from './describe_error';
+import {parseJson} from './json';
 
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
@@ -313,15 +314,6 @@
   return body.andThen(data => parseJson(data.toString('utf8')));
 }
 
-/** Parses JSON; invalid text is a `bad-request` error. */
-export function parseJson(text: string): Result<unknown, ServiceError> {
-  try {
-    return ok(JSON.parse(text) as unknown);
-  } catch (error) {
-    return err(createError('bad-request', describeError(error)));
-  }
-}
-
 /** Sends a value as a JSON response. */
 export function sendJson(
   response: ServerResponse,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -4,6 +4,7 @@
 export * from './describe_error';
 export * from './http_errors';
 export * from './http_server';
+export * from './json';
 export * from './latency_histograms';
 export * from './log';
 export * from './metrics';
