--- a/packages/peers/src/cluster_watch.ts
+++ b/packages/peers/src/cluster_watch.ts
@@ -23,10 +23,9 @@
 export const CLUSTER_WATCH_WAIT_MS = 5_000;
 /** Minimum time between two watch calls, in ms. */
 const MIN_WATCH_INTERVAL_MS = 300;
-/** Mean delay before a failed registration is retried, in ms. */
-const REGISTER_RETRY_MS = 500;
-/** Mean delay before a failed read of the coordinator is retried, in ms. */
-const READ_RETRY_MS = 300;
+/** Mean delay before a failed registration or read of the coordinator is retried,
+ * in ms. */
+const RETRY_MS = 500;
 
 const NODE_SCHEMA = z.object({
   name: z.string(),
@@ -138,7 +137,7 @@
   /** Reads the coordinator's record; retries until the store answers. */
   async fetchCoordinator(): Promise<void> {
     while (!(await this.readCoordinator())) {
-      await waitMs(READ_RETRY_MS * (0.5 + this.options.random()));
+      await this.waitRetry();
     }
   }
 
@@ -162,10 +161,14 @@
   async register(node: RegisteredNode): Promise<void> {
     for (;;) {
       if (await this.tryRegister(node)) return;
-      await waitMs(REGISTER_RETRY_MS * (0.5 + this.options.random()));
+      await this.waitRetry();
     }
   }
 
+  private waitRetry(): Promise<void> {
+    return waitMs(RETRY_MS * (0.5 + this.options.random()));
+  }
+
   private async tryRegister(node: RegisteredNode): Promise<boolean> {
     const {store} = this.options;
     const name = NODE_PREFIX + node.name;
