--- a/packages/calls/src/stream_forwarder.ts
+++ b/packages/calls/src/stream_forwarder.ts
@@ -19,6 +19,9 @@
   StreamOriginExchangeOptions,
 } from './stream_origin_exchange';
 
+/** Lowest status of an answer that is no stream. */
+const MIN_ERROR_STATUS = 300;
+
 export interface StreamForwarderOptions extends StreamOriginExchangeOptions {
   readonly forwarder: CallForwarder;
   readonly log: EventLog;
@@ -59,7 +62,8 @@
         },
       },
     });
-    if (result.isOk() && origin !== undefined) {
+    const isBegun = result.isOk() && result.value.status < MIN_ERROR_STATUS;
+    if (isBegun && origin !== undefined) {
       await this.origins.record({callId: call.id, fingerprint}, origin);
     }
     return result;
--- a/packages/calls/src/stream_origin_exchange.ts
+++ b/packages/calls/src/stream_origin_exchange.ts
@@ -75,10 +75,9 @@
     const key = createOriginKey(names);
     const known = this.options.keeper.list(key);
     const {entries, others} = this.listKeepers(key);
+    const {list: path} = ORIGIN_PATHS;
     const replies = [...entries, ...others].map(async node => {
-      const reply = await this.callNode(
-        ...([node, ORIGIN_PATHS.list, {key}, ORIGINS_SCHEMA] as const),
-      );
+      const reply = await this.callNode(node, path, {key}, ORIGINS_SCHEMA);
       return reply.isOk() ? reply.value.origins : [];
     });
     if (names.callId === undefined) {
