--- a/packages/calls/src/stream_origin_exchange.ts
+++ b/packages/calls/src/stream_origin_exchange.ts
@@ -1,5 +1,6 @@
 /** Records and finds the origins of streams at the nodes that keep them. */
 import {
+  ServiceError,
   StreamNames,
   StreamOrigin,
   createOriginKey,
@@ -10,15 +11,22 @@
   ClusterWatch,
   ORIGINS_SCHEMA,
   ORIGIN_PATHS,
+  PeerCall,
   PeerClient,
   RegisteredNode,
   StreamOriginKeeper,
 } from '@sassafrasspan/peers';
 import {parseAddress} from '@sassafrasspan/runtime';
+import type {Result} from 'neverthrow';
 import * as z from 'zod/mini';
 
-/** Timeout of a call to another node, in ms: several round trips. */
-const TIMEOUT_MS = 150;
+/** Timeout of a call that records an origin, in ms: several round trips. */
+const RECORD_TIMEOUT_MS = 150;
+/** Timeout of a call that looks an origin up, in ms; without an answer the stream
+ * can't go on. */
+const FIND_TIMEOUT_MS = 600;
+/** Time for which an entry that starts waits for the list of nodes, in ms. */
+const LIST_TIMEOUT_MS = 600;
 const DONE_SCHEMA = z.object({});
 
 export interface StreamOriginExchangeOptions {
@@ -56,13 +64,17 @@
   }
 
   private async recordUnder(key: string, origin: StreamOrigin): Promise<void> {
-    const {keeper} = this.options;
-    keeper.record(key, origin);
-    const {entries, others} = this.listKeepers(key);
+    this.options.keeper.record(key, origin);
+    const {entries, others} = await this.listKeepers(key);
+    const body = {key, origin};
+    const timeoutMs = RECORD_TIMEOUT_MS;
     const send = (nodes: readonly RegisteredNode[]) =>
       findFirst(
         nodes.map(node =>
-          this.callNode(node, ORIGIN_PATHS.record, {key, origin}, DONE_SCHEMA),
+          this.callNode(node, {
+            ...{path: ORIGIN_PATHS.record, body},
+            ...{schema: DONE_SCHEMA, timeoutMs},
+          }),
         ),
         reply => (reply.isOk() ? reply : undefined),
       );
@@ -74,10 +86,12 @@
   async find(names: StreamNames): Promise<StreamOrigin | undefined> {
     const key = createOriginKey(names);
     const known = this.options.keeper.list(key);
-    const {entries, others} = this.listKeepers(key);
-    const {list: path} = ORIGIN_PATHS;
+    const {entries, others} = await this.listKeepers(key);
     const replies = [...entries, ...others].map(async node => {
-      const reply = await this.callNode(node, path, {key}, ORIGINS_SCHEMA);
+      const reply = await this.callNode(node, {
+        ...{path: ORIGIN_PATHS.list, body: {key}},
+        ...{schema: ORIGINS_SCHEMA, timeoutMs: FIND_TIMEOUT_MS},
+      });
       return reply.isOk() ? reply.value.origins : [];
     });
     if (names.callId === undefined) {
@@ -93,18 +107,16 @@
 
   private callNode<T>(
     node: RegisteredNode,
-    path: string,
-    body: unknown,
-    schema: z.ZodMiniType<T>,
-  ) {
+    call: Omit<PeerCall<T>, 'address'>,
+  ): Promise<Result<T, ServiceError>> {
     const address = parseAddress(node.address) ?? {host: '', port: 0};
-    const timeoutMs = TIMEOUT_MS;
-    return this.options.peers.call({address, path, body, schema, timeoutMs});
+    return this.options.peers.call({...call, address});
   }
 
   /** Lists the nodes that keep the origin under a key, without this one. */
-  private listKeepers(key: string) {
+  private async listKeepers(key: string) {
     const {cluster, name} = this.options;
+    await cluster.waitUntilListed(LIST_TIMEOUT_MS);
     const entries = cluster.listNodes('entry');
     const others = [
       ...cluster.listNodes('home'),
--- a/packages/peers/src/cluster_watch.ts
+++ b/packages/peers/src/cluster_watch.ts
@@ -11,7 +11,7 @@
   CollectionWatch,
   ObjectCollections,
 } from '@sassafrasspan/platform';
-import {EventLog, waitMs} from '@sassafrasspan/runtime';
+import {EventLog, Waiters, waitMs} from '@sassafrasspan/runtime';
 import * as z from 'zod/mini';
 
 /** Collection of the registered nodes and the coordinator. */
@@ -70,6 +70,7 @@
   private coordinator: VersionedCoordinator | undefined;
   private isListed = false;
   private isCoordinatorRead = false;
+  private readonly listWaiters = Waiters.create();
   private readonly watch: CollectionWatch;
 
   private constructor(private readonly options: ClusterWatchOptions) {
@@ -83,6 +84,7 @@
         this.nodes.clear();
         for (const object of objects) this.applyObject(object);
         this.isListed = true;
+        this.listWaiters.wakeAll();
         options.onChanged();
       },
       onChanged: (changes, storeVersion) => {
@@ -111,6 +113,12 @@
     return this.isListed;
   }
 
+  /** Resolves once the cluster has been listed, or after `limitMs`. */
+  async waitUntilListed(limitMs: number): Promise<void> {
+    if (this.isListed) return;
+    await this.listWaiters.wait(limitMs, new AbortController().signal);
+  }
+
   /** Returns the coordinator; undefined if none is known. */
   getCoordinator(): VersionedCoordinator | undefined {
     return this.coordinator;
