--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -45,7 +45,7 @@
   /** Limit for connecting; `DEFAULT_CONNECT_TIMEOUT_MS` by default. */
   readonly connectTimeoutMs?: number;
   /** Maximum size of a buffered response body, beyond which the call fails as
-   * `oversized`; `DEFAULT_MAX_BODY_BYTES` by default. */
+   * `broken`; `DEFAULT_MAX_BODY_BYTES` by default. */
   readonly maxBodyBytes?: number;
   /**
    * Whether the call may be retried once, on a new connection, when a reused
@@ -91,10 +91,9 @@
  * Why a call failed. `refused`: no connection could be made. `unreachable`:
  * connecting timed out. `timeout`: the call's time limit passed. `broken`: the
  * connection broke, or the response was invalid or belonged to another call.
- * `oversized`: the response was larger than allowed.
  */
 export type HttpFailureReason =
-  'refused' | 'unreachable' | 'timeout' | 'broken' | 'oversized' | 'cancelled';
+  'refused' | 'unreachable' | 'timeout' | 'broken' | 'cancelled';
 
 /** A call that ended without a complete response. */
 export interface HttpFailure {
@@ -105,6 +104,8 @@
   readonly isAnswered: boolean;
   /** Whether the connection had been used by an earlier call. */
   readonly isReused: boolean;
+  /** Whether the response was larger than allowed. */
+  readonly isOversized: boolean;
   readonly detail: string;
 }
 
@@ -172,7 +173,7 @@
           size += chunk.length;
           if (size <= maxBodyBytes) return;
           chunks.length = 0;
-          activeCall.fail('oversized', `body of over ${maxBodyBytes} bytes`);
+          activeCall.failOversized(`body of over ${maxBodyBytes} bytes`);
         });
         waitForEnd(message, activeCall.handleReset, () => {
           activeCall.finish();
@@ -254,6 +255,7 @@
   private isSent = false;
   private isAnswered = false;
   private isFinished = false;
+  private isOversized = false;
   private timers: NodeJS.Timeout[] = [];
   private readonly cancel = () =>
     this.fail('cancelled', 'cancelled by the caller');
@@ -367,12 +369,18 @@
     this.fail(isRefused ? 'refused' : 'broken', error.message);
   }
 
+  failOversized(detail: string): void {
+    this.isOversized = true;
+    this.fail('broken', detail);
+  }
+
   fail(reason: HttpFailureReason, detail: string): void {
     if (this.isFinished) return;
     this.finish();
     this.request.destroy();
-    const {isSent, isAnswered} = this;
+    const {isSent, isAnswered, isOversized} = this;
     const isReused = this.request.reusedSocket;
-    this.onFailure({reason, isSent, isAnswered, isReused, detail});
+    const connection = {isSent, isAnswered, isReused};
+    this.onFailure({reason, ...connection, isOversized, detail});
   }
 }
