--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,6 +5,7 @@
 export * from './http_errors';
 export * from './http_server';
 export * from './json';
+export * from './json_slices';
 export * from './latency_histograms';
 export * from './log';
 export * from './metrics';
