--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -233,6 +233,7 @@
       call.onAnswered?.(reply.answer.status, endpoint);
     }
     if (reply.type === 'not-run') this.start.withdrawAttempt();
+    this.reportUnanswered(endpoint, reply);
     if (!this.isOver) this.recordSuspicion(endpoint, reply);
     if (!this.isOver) this.handleReply(endpoint, reply);
   }
@@ -276,6 +277,23 @@
     });
   }
 
+  /** Logs an attempt that may have run and has no complete answer. */
+  private reportUnanswered(endpoint: EndpointEntry, reply: AttemptOutcome): void {
+    if (reply.type === 'answered') return;
+    if (reply.type === 'not-run' && reply.firstTry === undefined) return;
+    this.options.log.writeEvent('attempt-unanswered', {
+      requestId: this.matched.call.id,
+      fingerprint: this.fingerprint,
+      endpoint: endpoint.id,
+      startedAtMs: endpoint.startedAtMs,
+      end: reply.type,
+      hadBytes: reply.type === 'lost' && reply.hadBytes,
+      reason: describeReason(reply),
+      firstTry: reply.firstTry,
+      isOver: this.isOver,
+    });
+  }
+
   /** Suspects the request if the connection broke before the first byte: it may
    * have crashed the endpoint. */
   private recordSuspicion(
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -65,6 +65,8 @@
       readonly load: ReportedLoad | undefined;
       /** As in an answer; undefined also if the endpoint has not replied. */
       readonly limit?: number;
+      /** How a first try at the endpoint broke, if the call was sent twice. */
+      readonly firstTry?: string;
     }
   /** The call may have run. */
   | {
@@ -72,6 +74,7 @@
       /** Whether part of the answer arrived. */
       readonly hadBytes: boolean;
       readonly detail: string;
+      readonly firstTry?: string;
     };
 
 /** Records which calls endpoints began to run, for the usage of customers. */
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -6,6 +6,7 @@
  * table by a test.
  */
 
+import {CRASH_EVENTS} from './crash_events';
 import {DUTY_EVENTS} from './duty_events';
 import type {EventEntry} from './event_entry';
 import {LOAD_EVENTS} from './load_events';
@@ -368,6 +369,7 @@
     level: 'info',
     meaning: 'The object API answers again.',
   },
+  ...CRASH_EVENTS,
   ...DUTY_EVENTS,
   ...LOAD_EVENTS,
 } as const satisfies Record<string, EventEntry>;
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -107,6 +107,8 @@
   /** Whether the response was larger than allowed. */
   readonly isOversized: boolean;
   readonly detail: string;
+  /** Failure of the first try, if the call was retried. */
+  readonly firstTry?: HttpFailure;
 }
 
 /** Parses `host:port`; undefined for anything else. */
@@ -153,7 +155,9 @@
       return reply;
     }
     const timeoutMs = call.timeoutMs - (performance.now() - startedAtMs);
-    return this.callOnce({...call, timeoutMs}, false);
+    const firstTry = reply.error;
+    const second = await this.callOnce({...call, timeoutMs}, false);
+    return second.mapErr(failure => ({...failure, firstTry}));
   }
 
   private callOnce(
