Count a call as run if its first try at a server broke

Cause: a call on a kept connection that breaks is sent once more on a new one. After a crash nothing listens, and the failure of that second try alone was returned: not sent. The attempt counted as not run, so that the crash was not seen, up to four servers were tried in one attempt in place of max_attempts, and a call between nodes was reported as not run though the node may have carried it out. A connection that broke long after the call began was taken for a stale one too, and the second try then named the time budget of the first.

--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -279,17 +279,15 @@
 
   /** Logs an attempt that may have run and has no complete answer. */
   private reportUnanswered(endpoint: EndpointEntry, reply: AttemptOutcome): void {
-    if (reply.type === 'answered') return;
-    if (reply.type === 'not-run' && reply.firstTry === undefined) return;
+    if (reply.type !== 'lost') return;
     this.options.log.writeEvent('attempt-unanswered', {
       requestId: this.matched.call.id,
       fingerprint: this.fingerprint,
       endpoint: endpoint.id,
       startedAtMs: endpoint.startedAtMs,
-      end: reply.type,
-      hadBytes: reply.type === 'lost' && reply.hadBytes,
-      reason: describeReason(reply),
-      firstTry: reply.firstTry,
+      hadBytes: reply.hadBytes,
+      isPortClosed: reply.isPortClosed,
+      reason: reply.detail,
       isOver: this.isOver,
     });
   }
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -65,8 +65,8 @@
       readonly load: ReportedLoad | undefined;
       /** As in an answer; undefined also if the endpoint has not replied. */
       readonly limit?: number;
-      /** How a first try at the endpoint broke, if the call was sent twice. */
-      readonly firstTry?: string;
+      /** Whether nothing listens at the endpoint's address. */
+      readonly isPortClosed?: boolean;
     }
   /** The call may have run. */
   | {
@@ -74,7 +74,8 @@
       /** Whether part of the answer arrived. */
       readonly hadBytes: boolean;
       readonly detail: string;
-      readonly firstTry?: string;
+      /** Whether nothing listens at the endpoint's address any more. */
+      readonly isPortClosed?: boolean;
     };
 
 /** Records which calls endpoints began to run, for the usage of customers. */
--- a/packages/core/src/events/crash_events.ts
+++ b/packages/core/src/events/crash_events.ts
@@ -6,6 +6,6 @@
     number: 220,
     level: 'info',
     meaning:
-      'An attempt that may have run ended without a complete answer; `firstTry` is how it broke before it was sent once more.',
+      'An attempt that may have run ended without a complete answer.',
   },
 } as const satisfies Record<string, EventEntry>;
--- a/packages/runtime/src/http_client.test.ts
+++ b/packages/runtime/src/http_client.test.ts
@@ -130,6 +130,48 @@
   expect([notRetried.isOk(), retried.isOk()]).toEqual([false, true]);
 });
 
+/** Calls a server that breaks a kept connection after a delay and is gone. */
+async function callEndingServer(delayMs: number) {
+  await listen(socket => {
+    if (connections === 1 && socket.bytesRead < 100) {
+      return socket.write(FRAMED);
+    }
+    server.close();
+    return setTimeout(() => socket.destroy(), delayMs);
+  });
+  const {port} = server.address() as AddressInfo;
+  const call = () =>
+    client.call({
+      address: {host: '127.0.0.1', port},
+      method: 'GET',
+      path: '/',
+      timeoutMs: 1_000,
+      mayRetry: true,
+      retryWindowMs: 50,
+    });
+  await call();
+  const reply = await call();
+  if (reply.isOk()) throw new Error('the call succeeded');
+  const {reason, isSent, isPortClosed} = reply.error;
+  return {reason, isSent, isPortClosed};
+}
+
+test('a call that ran counts as not sent, since its retry was refused', async () => {
+  expect(await callEndingServer(0)).toEqual({
+    reason: 'broken',
+    isSent: true,
+    isPortClosed: true,
+  });
+});
+
+test('a call is sent again long after it began, with its first time limit', async () => {
+  expect(await callEndingServer(100)).toEqual({
+    reason: 'broken',
+    isSent: true,
+    isPortClosed: false,
+  });
+});
+
 test('a silent server is a timeout, a closed port is a refusal', async () => {
   await listen(() => undefined);
   const silent = await callServer(50);
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -53,6 +53,9 @@
    * time.
    */
   readonly mayRetry?: boolean;
+  /** Time from the start of the call within which it may be retried, in ms;
+   * unlimited by default. A connection that breaks later was not stale. */
+  readonly retryWindowMs?: number;
   /**
    * Returns whether a response belongs to this call. If it doesn't, the
    * connection is closed and the call fails as `broken`.
@@ -106,9 +109,9 @@
   readonly isReused: boolean;
   /** Whether the response was larger than allowed. */
   readonly isOversized: boolean;
+  /** Whether nothing listens at the peer's address. */
+  readonly isPortClosed: boolean;
   readonly detail: string;
-  /** Failure of the first try, if the call was retried. */
-  readonly firstTry?: HttpFailure;
 }
 
 /** Parses `host:port`; undefined for anything else. */
@@ -154,10 +157,11 @@
     if (reply.isOk() || !call.mayRetry || !isStaleConnection(reply.error)) {
       return reply;
     }
-    const timeoutMs = call.timeoutMs - (performance.now() - startedAtMs);
-    const firstTry = reply.error;
-    const second = await this.callOnce({...call, timeoutMs}, false);
-    return second.mapErr(failure => ({...failure, firstTry}));
+    const elapsedMs = performance.now() - startedAtMs;
+    if (elapsedMs > (call.retryWindowMs ?? Infinity)) return reply;
+    const timeoutMs = call.timeoutMs - elapsedMs;
+    const retry = await this.callOnce({...call, timeoutMs}, false);
+    return retry.mapErr(failure => mergeFailures(reply.error, failure));
   }
 
   private callOnce(
@@ -253,6 +257,14 @@
   return failure.reason === 'broken' && failure.isReused && !failure.isAnswered;
 }
 
+/** Returns the failure of a call whose retry failed too: the peer may have
+ * received the first try, even if it could not be reached again. */
+function mergeFailures(first: HttpFailure, retry: HttpFailure): HttpFailure {
+  const reason = retry.isSent ? retry.reason : first.reason;
+  const detail = `${first.detail}; retried: ${retry.detail}`;
+  return {...retry, reason, isSent: true, detail};
+}
+
 /** State and timers of one call until it finishes or fails. */
 class ActiveCall {
   private readonly request: ClientRequest;
@@ -260,6 +272,7 @@
   private isAnswered = false;
   private isFinished = false;
   private isOversized = false;
+  private isPortClosed = false;
   private timers: NodeJS.Timeout[] = [];
   private readonly cancel = () =>
     this.fail('cancelled', 'cancelled by the caller');
@@ -369,7 +382,8 @@
   readonly handleReset = (detail: string) => this.fail('broken', detail);
 
   private failWithError(error: NodeJS.ErrnoException): void {
-    const isRefused = error.code === 'ECONNREFUSED' || !this.isSent;
+    this.isPortClosed = error.code === 'ECONNREFUSED';
+    const isRefused = this.isPortClosed || !this.isSent;
     this.fail(isRefused ? 'refused' : 'broken', error.message);
   }
 
@@ -382,9 +396,9 @@
     if (this.isFinished) return;
     this.finish();
     this.request.destroy();
-    const {isSent, isAnswered, isOversized} = this;
+    const {isSent, isAnswered, isOversized, isPortClosed} = this;
     const isReused = this.request.reusedSocket;
-    const connection = {isSent, isAnswered, isReused};
+    const connection = {isSent, isAnswered, isReused, isPortClosed};
     this.onFailure({reason, ...connection, isOversized, detail});
   }
 }
