Quarantine requests by proven crashes, and share them through the store

Cause: a connection that broke before the first byte counted as a crash and nothing else did, named by the server's id; what one process had seen was sent once to the entries listed then and kept in memory, without an end. Evidence: an attempt without an answer implicates its request once the server has ended. Records: merge in any order, kept in one object of the store; two trials, a conditional write each. Errors of a server no longer clear a request.

--- a/packages/calls/src/attempt_descriptions.ts
+++ b/packages/calls/src/attempt_descriptions.ts
@@ -1,12 +1,25 @@
 /** Descriptions of calls and of their attempts, for decisions and logs. */
-import {AttemptEnd, hashText} from '@sassafrasspan/core';
+import {createHash} from 'node:crypto';
+import type {AttemptEnd} from '@sassafrasspan/core';
 import type {AttemptOutcome, MatchedCall} from './call_types';
 
+/** Length of a fingerprint, in hexadecimal digits. */
+const FINGERPRINT_DIGITS = 32;
+
+/** The parts of a request that are the same whenever it comes again. */
+export type RepeatedRequest = Pick<
+  MatchedCall['call'],
+  'customer' | 'method' | 'host' | 'target' | 'body'
+>;
+
 /** Returns the same fingerprint for calls with the same request. */
-export function computeFingerprint(call: MatchedCall['call']): string {
-  const {customer = '', method, host, target, body} = call;
-  const text = `${customer} ${method} ${host}${target} ${body.toString('latin1')}`;
-  return `${hashText(text).toString(16)}-${body.length}`;
+export function computeFingerprint(request: RepeatedRequest): string {
+  const {customer = '', method, host, target, body} = request;
+  return createHash('sha256')
+    .update(`${customer} ${method} ${host}${target}\n`)
+    .update(body)
+    .digest('hex')
+    .slice(0, FINGERPRINT_DIGITS);
 }
 
 /** Returns how an attempt ended, for the decision on what follows. */
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -54,6 +54,9 @@
       /** Requests per second that the endpoint takes from all nodes together;
        * undefined if it states no limit. */
       readonly limit?: number;
+      /** Whether only the end of the connection marked that of the answer, as the
+       * end of the endpoint may. */
+      readonly isDelimitedByClose?: boolean;
     }
   /** The call did not run and will not. `other-instance`: another server than
    * the expected endpoint received it. `held-back`: it was not sent, since this
@@ -73,6 +76,8 @@
       readonly type: 'lost';
       /** Whether part of the answer arrived. */
       readonly hadBytes: boolean;
+      /** Whether the connection broke; if not, this node has given up. */
+      readonly hasBroken: boolean;
       readonly detail: string;
       /** Whether nothing listens at the endpoint's address any more. */
       readonly isPortClosed?: boolean;
@@ -101,6 +106,13 @@
   ): Promise<AttemptOutcome>;
 }
 
+/** Finds out whether endpoints live. */
+export interface EndpointProber {
+  /** Returns whether the endpoint's address takes connections; undefined if there
+   * is no sign of either. */
+  isListening(endpoint: EndpointEntry): Promise<boolean | undefined>;
+}
+
 export interface MatchedCall {
   readonly call: RoutedCall;
   readonly route: Route;
--- a/packages/calls/src/entry_role.ts
+++ b/packages/calls/src/entry_role.ts
@@ -6,7 +6,6 @@
   CapacityMode,
   Clock,
   EndpointSelector,
-  Quarantine,
   RandomSource,
   Route,
   RouteBurnTracker,
@@ -22,27 +21,28 @@
   PeerRoutes,
   StreamOriginKeeper,
 } from '@sassafrasspan/peers';
-import {FleetSource, FleetState} from '@sassafrasspan/platform';
 import {
-  EventLog,
-  Metrics,
-  PeerAddress,
-  parseAddress,
-  waitMs,
-} from '@sassafrasspan/runtime';
+  FleetSource,
+  FleetState,
+  ObjectCollections,
+} from '@sassafrasspan/platform';
+import {EventLog, Metrics, waitMs} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {CallForwarder, CallResult} from './call_forwarder';
-import type {EndpointCaller, RoutedCall, StartRecorder} from './call_types';
+import type {
+  EndpointCaller,
+  EndpointProber,
+  RoutedCall,
+  StartRecorder,
+} from './call_types';
 import {CapacitySharing} from './capacity_sharing';
+import {CrashWatch} from './crash_watch';
 import {DrainedServer, decideDrain} from './entry_drain';
 import {StreamForwarder} from './stream_forwarder';
-import {SuspicionBroadcaster} from './suspicion_broadcaster';
 
 /** Age of the configuration up to which a missing route is reported as such, in
  * ms: two waits of its watch. */
 const MAX_FRESH_AGE_MS = 3_500;
-/** Number of endpoints that a request may crash before it is refused. */
-const MAX_CRASHES = 3;
 /** Interval at which a drain checks for open requests, in ms; also the time for
  * which the process goes on after its last answers. */
 const DRAIN_CHECK_MS = 50;
@@ -52,7 +52,8 @@
   readonly failureDomain: string;
   readonly cluster: ClusterWatch;
   readonly peers: PeerClient;
-  readonly caller: EndpointCaller;
+  readonly store: ObjectCollections;
+  readonly caller: EndpointCaller & EndpointProber;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
@@ -89,7 +90,7 @@
 export class EntryRole {
   private readonly fleet: FleetState;
   private readonly forwarder: CallForwarder;
-  private readonly broadcaster: SuspicionBroadcaster;
+  private readonly crashes: CrashWatch;
   private readonly rates: EndpointRates;
   private readonly originKeeper: StreamOriginKeeper;
   private readonly streams: StreamForwarder;
@@ -97,8 +98,7 @@
   private isDraining = false;
 
   private constructor(private readonly options: EntryRoleOptions) {
-    const {failureDomain, caller, clock, random, log, metrics, peers, burn} =
-      options;
+    const {failureDomain, caller, clock, random, log, metrics, burn} = options;
     this.fleet = FleetState.create({
       clock,
       log,
@@ -107,17 +107,13 @@
         const endpoints = this.fleet.endpoints.listAll();
         this.rates.removeUnregistered(endpoints);
         this.capacity.removeUnregistered(new Set(endpoints.map(({id}) => id)));
+        this.crashes.setEndpoints(endpoints);
       },
     });
     this.originKeeper = StreamOriginKeeper.create(clock);
     this.capacity = CapacitySharing.create(options);
     this.rates = EndpointRates.create(options);
-    const quarantine = Quarantine.create(MAX_CRASHES);
-    this.broadcaster = SuspicionBroadcaster.create({
-      quarantine,
-      peers,
-      listEntries: () => this.listOtherEntries(),
-    });
+    this.crashes = CrashWatch.create({...options, prober: caller});
     this.forwarder = CallForwarder.create({
       endpoints: this.fleet.endpoints,
       pool: EndpointSelector.create(
@@ -127,7 +123,7 @@
       ),
       caller,
       rateGate: this.rates.gate,
-      quarantine,
+      crashes: this.crashes,
       clock,
       random,
       log,
@@ -146,6 +142,7 @@
 
   /** Starts to watch routes and endpoints. */
   start(source: FleetSource): void {
+    this.crashes.start();
     this.fleet.start(source);
     this.rates.start();
     this.capacity.start();
@@ -154,7 +151,7 @@
   /** Returns handlers for the calls of other entries. */
   createRoutes(): PeerRoutes {
     return {
-      ...this.broadcaster.createRoutes(),
+      ...this.crashes.createRoutes(),
       ...this.rates.createRoutes(),
       ...this.originKeeper.createRoutes(),
     };
@@ -275,12 +272,4 @@
     }
     await waitMs(DRAIN_CHECK_MS);
   }
-
-  private listOtherEntries(): PeerAddress[] {
-    return this.options.cluster
-      .listNodes('entry')
-      .filter(node => node.name !== this.options.name)
-      .map(node => parseAddress(node.address))
-      .filter(address => address !== undefined);
-  }
 }
--- a/packages/calls/src/forwarder_options.ts
+++ b/packages/calls/src/forwarder_options.ts
@@ -3,7 +3,6 @@
   Clock,
   EndpointDirectory,
   EndpointSelector,
-  Quarantine,
   RandomSource,
   RouteBurnTracker,
   ServiceError,
@@ -11,6 +10,7 @@
 import type {RateGate} from '@sassafrasspan/limits';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import type {Result} from 'neverthrow';
+import type {CrashWatch} from './crash_watch';
 import type {EndpointAnswer, EndpointCaller, StartRecorder} from './call_types';
 
 export interface CallForwarderOptions {
@@ -19,9 +19,12 @@
   readonly caller: EndpointCaller;
   /** Limits that endpoints state. */
   readonly rateGate: RateGate;
-  /** Requests that may crash the endpoints that run them; undefined if no call
-   * of this forwarder does. */
-  readonly quarantine?: Quarantine;
+  /** Requests that crash the endpoints that run them; undefined if no call of this
+   * forwarder does. */
+  readonly crashes?: Pick<
+    CrashWatch,
+    'decide' | 'claimTrial' | 'recordAttempt'
+  >;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -4,4 +4,4 @@
 export * from './entry_drain';
 export * from './capacity_sharing';
 export * from './entry_role';
-export * from './suspicion_broadcaster';
+export * from './crash_watch';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,6 +38,8 @@
 export * from './runs/endpoint_driver';
 export * from './runs/expiring_map';
 export * from './runs/idempotency_table';
+export * from './runs/crash_evidence';
+export * from './runs/crash_records';
 export * from './runs/quarantine';
 export * from './runs/request_progress';
 export * from './runs/retry_budget';
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -6,7 +6,9 @@
 import {
   CallForwarder,
   CapacitySharing,
+  CrashWatch,
   EndpointCaller,
+  EndpointProber,
 } from '@sassafrasspan/calls';
 import {
   BatchJob,
@@ -72,7 +74,7 @@
   readonly peers: PeerClient;
   readonly source: FleetSource;
   /** Sends scoring calls to endpoints. */
-  readonly caller: EndpointCaller;
+  readonly caller: EndpointCaller & EndpointProber;
   readonly scoringFormat: ScoringFormat;
   /** Returns how long after acceptance results can be read, in ms. */
   readonly findRetentionMs: () => number;
@@ -106,6 +108,7 @@
   private readonly fleet: FleetState;
   private readonly rates: EndpointRates;
   private readonly capacity: CapacitySharing;
+  private readonly crashes: CrashWatch;
   private watches: RunnableWatch[] = [];
   private coordinator: JobCoordinator | undefined;
   /** Whether the coordinator has loaded the stored jobs. */
@@ -125,11 +128,13 @@
         const endpoints = this.fleet.endpoints.listAll();
         this.rates.removeUnregistered(endpoints);
         this.capacity.removeUnregistered(new Set(endpoints.map(({id}) => id)));
+        this.crashes.setEndpoints(endpoints);
         this.updateAgents();
       },
     });
     this.rates = EndpointRates.create(options);
     this.capacity = CapacitySharing.create(options);
+    this.crashes = CrashWatch.create({...options, prober: options.caller});
     this.election = CoordinatorElection.create({
       ...options,
       onElected: record => void this.startCoordinator(record),
@@ -142,6 +147,7 @@
 
   /** Joins the election. */
   start(): void {
+    this.crashes.start();
     void this.election.run();
   }
 
@@ -168,6 +174,7 @@
     return {
       ...this.rates.createRoutes(),
       ...this.capacity.createRoutes(),
+      ...this.crashes.createRoutes(),
       [JOB_PATHS.takeOver]: createHandler(z.unknown(), async () =>
         ok({isDone: await this.election.takeOver()}),
       ),
@@ -243,6 +250,7 @@
         ...this.options,
         endpoints,
         rateGate: this.rates.gate,
+        crashes: this.crashes,
         pool: EndpointSelector.create(
           failureDomain,
           random,
--- a/packages/peers/src/cluster_watch.ts
+++ b/packages/peers/src/cluster_watch.ts
@@ -58,6 +58,10 @@
   readonly onChanged: () => void;
 }
 
+/** Receives an object when it is listed or has changed; undefined once it has been
+ * removed. */
+type ObjectListener = (object: CollectionObject | undefined) => void;
+
 /** The coordinator's record with its version for conditional updates. */
 export interface VersionedCoordinator {
   readonly record: CoordinatorRecord;
@@ -71,6 +75,8 @@
   private isListed = false;
   private isCoordinatorRead = false;
   private readonly listWaiters = Waiters.create();
+  /** Listeners to other objects of the collection, by name. */
+  private readonly objectListeners = new Map<string, ObjectListener>();
   private readonly watch: CollectionWatch;
 
   private constructor(private readonly options: ClusterWatchOptions) {
@@ -91,7 +97,7 @@
         options.cacheListener?.onChanged(changes, storeVersion);
         if (changes.length === 0) return;
         for (const {object, isRemoved} of changes) {
-          if (isRemoved) this.nodes.delete(object.name);
+          if (isRemoved) this.removeObject(object.name);
           else this.applyObject(object);
         }
         options.onChanged();
@@ -196,7 +202,19 @@
     return replaced.isOk();
   }
 
+  /** Calls a listener with an object of the collection that is neither a node nor
+   * the coordinator's record. */
+  subscribeObject(name: string, listener: ObjectListener): void {
+    this.objectListeners.set(name, listener);
+  }
+
+  private removeObject(name: string): void {
+    this.nodes.delete(name);
+    this.objectListeners.get(name)?.(undefined);
+  }
+
   private applyObject(object: CollectionObject): void {
+    this.objectListeners.get(object.name)?.(object);
     if (object.name === COORDINATOR_OBJECT) {
       const parsed = COORDINATOR_SCHEMA.safeParse(object.value);
       if (!parsed.success) return;
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -12,7 +12,8 @@
 } from 'node:http';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
-import {waitForEnd} from './http_response_end';
+import {isDelimitedByClose, waitForEnd} from './http_response_end';
+import type {PeerAddress} from './peer_address';
 
 /** Time to open a connection: several round trips between regions. */
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
@@ -25,14 +26,6 @@
 /** Idle time after which the kernel sends TCP keep-alive probes. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 
-const MAX_PORT = 65_535;
-
-/** Host and port of a peer. */
-export interface PeerAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Request and limits of one call. */
 export interface HttpCall {
   readonly address: PeerAddress;
@@ -73,6 +66,8 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
+  /** Whether only the end of the connection marks that of the body. */
+  readonly isDelimitedByClose: boolean;
 }
 
 /** A response whose headers have arrived and whose body is streamed. */
@@ -114,21 +109,6 @@
   readonly detail: string;
 }
 
-/** Parses `host:port`; undefined for anything else. */
-export function parseAddress(text: string): PeerAddress | undefined {
-  const colon = text.lastIndexOf(':');
-  const digits = text.slice(colon + 1);
-  const port = Number(digits);
-  const isPort = /^\d+$/.test(digits) && port > 0 && port <= MAX_PORT;
-  if (colon < 1 || !isPort) return undefined;
-  return {host: text.slice(0, colon), port};
-}
-
-/** Formats an address as `host:port`. */
-export function formatAddress(address: PeerAddress): string {
-  return `${address.host}:${address.port}`;
-}
-
 /** Options of the agent and, as it passes them on, of its sockets. */
 const AGENT_OPTIONS: AgentOptions & Pick<TcpNetConnectOpts, 'allowHalfOpen'> = {
   keepAlive: true,
@@ -190,6 +170,7 @@
               status: message.statusCode ?? 0,
               headers: message.headers,
               body: Buffer.concat(chunks),
+              isDelimitedByClose: isDelimitedByClose(message),
             }),
           );
         });
--- a/packages/runtime/src/http_response_end.ts
+++ b/packages/runtime/src/http_response_end.ts
@@ -18,7 +18,7 @@
 }
 
 /** Returns whether closing the connection marks the end of a response. */
-function isDelimitedByClose(message: IncomingMessage): boolean {
+export function isDelimitedByClose(message: IncomingMessage): boolean {
   const {headers} = message;
   return (
     headers['content-length'] === undefined &&
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -10,6 +10,8 @@
 export * from './log';
 export * from './metrics';
 export * from './operators_routes';
+export * from './peer_address';
+export * from './port_probe';
 export * from './runtime_warnings';
 export * from './settings';
 export * from './settings_expectations';
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -13,6 +13,12 @@
   limited_answers_total: 'Answers of endpoints that state a rate limit.',
   limited_sends_denied_total:
     'Questions of this node that a keeper of a rate limit did not grant in full.',
+  crash_trials_total:
+    'Quarantined requests that were to be sent once more, by whether this node might.',
+  endpoint_crashes_total:
+    'Endpoints that ended while requests had no answer, by the proof.',
+  requests_quarantined_total:
+    'Requests found to crash endpoints, here or by another node.',
   connections_cut_total:
     'Connections cut to release memory, by reason and by what was held.',
   endpoint_sends_held_total:
