Hold items of batch jobs under which engines have crashed

Callers saw: an item that crashes engines was started again each 1.5 s until its retention time, and in each later job with its group; one that crashes after its first event without any pause (BUDGET, and the loss of what runs beside it). Cause: the coordinator counts interruptions in a row without an event, in memory. Change: ends of runs are evidence as those of calls are; an item under which three engines have crashed is held, by the records that all nodes share, with two trials.

--- a/packages/calls/src/crash_watch.ts
+++ b/packages/calls/src/crash_watch.ts
@@ -84,17 +84,27 @@
     return this.exchange.createRoutes();
   }
 
-  decide(fingerprint: string): CrashVerdict {
+  decide(fingerprint: string, trialDelaysMs?: readonly number[]): CrashVerdict {
     const {clock} = this.options;
-    return this.records.decide(fingerprint, clock.readWallMs());
+    return this.records.decide(fingerprint, clock.readWallMs(), trialDelaysMs);
+  }
+
+  /** Returns whether endpoints have crashed under any request. */
+  hasRecords(): boolean {
+    return this.records.list().length > 0;
   }
 
   /** Returns whether this node may send a quarantined request once more. */
-  async claimTrial(fingerprint: string, requestId: string): Promise<boolean> {
+  async claimTrial(
+    fingerprint: string,
+    requestId: string,
+    trialDelaysMs?: readonly number[],
+  ): Promise<boolean> {
     const {log, metrics} = this.options;
-    const id = `trial ${requestId}`;
+    const nowMs = this.options.clock.readWallMs();
+    const id = `trial ${requestId} ${nowMs}`;
     const isGranted =
-      this.decide(fingerprint) === 'trial-due' &&
+      this.decide(fingerprint, trialDelaysMs) === 'trial-due' &&
       (await this.exchange.claimTrial(fingerprint, id));
     metrics.addCount('crash_trials_total', {granted: String(isGranted)});
     log.writeEvent('trial-claimed', {requestId, fingerprint, isGranted});
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -4,4 +4,5 @@
 export * from './entry_drain';
 export * from './capacity_sharing';
 export * from './entry_role';
+export {computeFingerprint} from './attempt_descriptions';
 export * from './crash_watch';
--- a/packages/core/src/batch/batch_scheduler.ts
+++ b/packages/core/src/batch/batch_scheduler.ts
@@ -7,7 +7,7 @@
 import type {DetachedRun} from './carry_over';
 import {DEFAULT_POLICY, BatchPlanner, SchedulingPolicy} from './batch_planner';
 import type {EndpointOrders} from './endpoint_orders';
-import {BoundsFinder, JobRegistry} from './job_registry';
+import {BoundsFinder, JobRegistry, RunEndListener} from './job_registry';
 import {ScoringOutcome, applyScoringOutcome} from './item_scoring';
 import type {ItemState} from './item_state';
 import type {JobState} from './job_state';
@@ -32,6 +32,7 @@
   /** Returns a unique run ID. */
   readonly createRunId: () => string;
   readonly policy?: SchedulingPolicy;
+  readonly onRunEnded?: RunEndListener;
 }
 
 /** Schedules the items of batch jobs. */
@@ -43,7 +44,7 @@
   private awaitReportsUntilMs = -Infinity;
 
   private constructor(options: BatchSchedulerOptions) {
-    this.jobs = JobRegistry.create(options.findBounds);
+    this.jobs = JobRegistry.create(options.findBounds, options.onRunEnded);
     const {epoch, createRunId, policy = DEFAULT_POLICY} = options;
     const {jobs, endpoints} = this;
     this.planner = BatchPlanner.create({
--- a/packages/core/src/batch/item_state.ts
+++ b/packages/core/src/batch/item_state.ts
@@ -40,6 +40,8 @@
   finishedAtMs: number;
   /** Earliest time of the next start. */
   retryAtMs: number;
+  /** Whether it must not start, since endpoints have crashed under it. */
+  isHeld: boolean;
   /** Number of failed attempts. */
   failures: number;
   /** Interruptions since the last event. */
@@ -69,6 +71,7 @@
     scoring: undefined,
     finishedAtMs: 0,
     retryAtMs: 0,
+    isHeld: false,
     failures: 0,
     consecutiveBreaks: 0,
     avoidedEndpoints: new Map(),
--- a/packages/core/src/batch/job_registry.ts
+++ b/packages/core/src/batch/job_registry.ts
@@ -4,7 +4,7 @@
  */
 import {BatchJob, JobResult, RunEnd, countEvents} from './batch_types';
 import {CarryOver, DetachedRun} from './carry_over';
-import {ItemState, createItemState, isObsolete} from './item_state';
+import {ItemRun, ItemState, createItemState, isObsolete} from './item_state';
 import {JobState} from './job_state';
 import type {Leftover} from './leftover_plan';
 import {VersionForecast} from './version_forecast';
@@ -54,6 +54,14 @@
   readonly itemId: string;
 }
 
+/** Is told of the end of an item's present run. */
+export type RunEndListener = (
+  job: JobState,
+  item: ItemState,
+  run: ItemRun,
+  end: RunEnd,
+) => void;
+
 /** Open jobs by ID, and what is known of their models. */
 export class JobRegistry {
   private readonly jobs = new Map<string, JobState>();
@@ -67,10 +75,16 @@
   /** Items of ended jobs that may begin again for a later job, by item ID. */
   private readonly leftovers = new Map<string, Leftover>();
 
-  private constructor(readonly findBounds: BoundsFinder) {}
+  private constructor(
+    readonly findBounds: BoundsFinder,
+    private readonly onRunEnded: RunEndListener,
+  ) {}
 
-  static create(findBounds: BoundsFinder): JobRegistry {
-    return new JobRegistry(findBounds);
+  static create(
+    findBounds: BoundsFinder,
+    onRunEnded: RunEndListener = () => undefined,
+  ): JobRegistry {
+    return new JobRegistry(findBounds, onRunEnded);
   }
 
   /** Lists the open jobs. */
@@ -265,7 +279,12 @@
     if (state === undefined) return;
     const bounds = this.findBounds(state.job);
     const maxFailures = bounds?.maxAttempts ?? DEFAULT_MAX_FAILURES;
+    const item = state.items.get(itemId);
+    const run = item?.run;
     state.endRun(itemId, runId, end, nowMs, maxFailures);
+    if (item !== undefined && run?.runId === runId) {
+      this.onRunEnded(state, item, run, end);
+    }
   }
 }
 
--- a/packages/core/src/batch/start_plan.ts
+++ b/packages/core/src/batch/start_plan.ts
@@ -197,7 +197,8 @@
   const wanted = selectWantedGroups(job);
   return job.state.groups.flatMap(group =>
     group.items
-      .filter(item => item.phase === 'waiting' && item.retryAtMs <= nowMs)
+      .filter(item => item.phase === 'waiting' && !item.isHeld)
+      .filter(item => item.retryAtMs <= nowMs)
       .map(item => ({
         job,
         item,
--- a/packages/core/src/events/crash_events.ts
+++ b/packages/core/src/events/crash_events.ts
@@ -31,6 +31,12 @@
     meaning:
       'A request under which endpoints had crashed was answered, and is sound.',
   },
+  'item-held': {
+    number: 227,
+    level: 'warn',
+    meaning:
+      'An item of a batch job is held, or released, since endpoints have crashed under it.',
+  },
   'trial-claimed': {
     number: 225,
     level: 'info',
--- a/packages/core/src/runs/crash_records.ts
+++ b/packages/core/src/runs/crash_records.ts
@@ -2,16 +2,18 @@
  * The crashes of endpoints under requests, as all nodes know them: records merge
  * in any order to the same state. A request under which `MAX_CRASHES` endpoints
  * have crashed is quarantined. As another cause may have ended the endpoints, it
- * is tried again, `TRIAL_DELAYS_MS` after the last crash or trial. An answer
+ * is tried again some time after the last crash or trial. An answer
  * clears it everywhere; if it stays without one, it is refused until the record
  * expires.
  */
 
 /** Endpoints that a request may crash before it is quarantined. */
 const MAX_CRASHES = 3;
-/** Time without a crash or trial before each trial, in ms. With a request that was
- * on its way when it was quarantined, three retries reach endpoints at most. */
-const TRIAL_DELAYS_MS: readonly number[] = [10_000, 60_000];
+/** Time without a crash or trial before each trial of a call, in ms. With a request
+ * that was on its way when it was quarantined, three retries reach endpoints. */
+export const CALL_TRIAL_DELAYS_MS: readonly number[] = [10_000, 60_000];
+/** The same for items of batch jobs, which are due within seconds. */
+export const ITEM_TRIAL_DELAYS_MS: readonly number[] = [4_000, 4_000];
 /** Time after the last crash or trial for which a record is kept, in ms. */
 const RECORD_TTL_MS = 3_600_000;
 /** Maximum number of records; those with the fewest crashes are dropped first. */
@@ -122,14 +124,18 @@
   }
 
   /** Decides what may be done with a request. */
-  decide(fingerprint: string, nowMs: number): CrashVerdict {
+  decide(
+    fingerprint: string,
+    nowMs: number,
+    trialDelaysMs = CALL_TRIAL_DELAYS_MS,
+  ): CrashVerdict {
     const record = this.records.get(fingerprint);
     if (record === undefined) return 'sound';
     const sinceMs = nowMs - findLastMs(record);
     const {crashes, trials} = selectValid(record);
     if (crashes.length === 0 || sinceMs > RECORD_TTL_MS) return 'sound';
     if (crashes.length < MAX_CRASHES) return 'suspect';
-    const delayMs = TRIAL_DELAYS_MS[trials.length] ?? Infinity;
+    const delayMs = trialDelaysMs[trials.length] ?? Infinity;
     return sinceMs >= delayMs ? 'trial-due' : 'quarantined';
   }
 
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -223,6 +223,8 @@
         : POLICY_WITHOUT_SCARCITY,
       scoringCaller: this.createScoringCaller(),
       findBounds: job => this.findBounds(job),
+      crashes: this.crashes,
+      findEndpoint: id => this.fleet.endpoints.find(id),
       onSuperseded: detail => {
         if (this.coordinator === coordinator) this.stopCoordinator(detail);
       },
--- a/packages/jobs/src/job_coordinator.ts
+++ b/packages/jobs/src/job_coordinator.ts
@@ -6,30 +6,25 @@
  */
 import {
   BatchJob,
-  BoundsFinder,
-  Clock,
   BatchScheduler,
   JobProgress,
   JobState,
-  SchedulingPolicy,
-  RouteBurnTracker,
   ServiceError,
   createError,
   restoreProgress,
 } from '@sassafrasspan/core';
-import type {PeerClient} from '@sassafrasspan/peers';
-import type {EventLog, Metrics} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
 import {AgentDescription, AgentLinks} from './agent_links';
-import {JobHeader, JobStore, StoredJob, createOwnerConflict} from './job_store';
+import {JobHeader, StoredJob, createOwnerConflict} from './job_store';
 import type {EndCall, ItemCall, ReadCall, ResultsAnswer} from './job_messages';
+import type {JobCoordinatorOptions} from './job_coordinator_options';
 import {JobWriter} from './job_writer';
 import {selectEndedJobs, selectEvictions} from './job_eviction';
 import {CheckpointWriter} from './checkpoint_writer';
 import {JobEndWriter} from './job_end_writer';
+import {ItemCrashGuard} from './item_crash_guard';
 import {JobExpiry} from './job_expiry';
 import {JobScorer} from './job_scorer';
-import type {ScoringCaller} from './scoring_caller';
 import {reportScarcity} from './scarcity_report';
 import {ServedJob} from './served_job';
 
@@ -42,31 +37,12 @@
 /** Interval at which jobs are evicted and expired jobs removed, in ms. */
 const CLEANUP_INTERVAL_MS = 2_000;
 
-export interface JobCoordinatorOptions {
-  readonly name: string;
-  readonly epoch: number;
-  readonly incarnation: string;
-  readonly jobStore: JobStore;
-  readonly peers: PeerClient;
-  readonly scoringCaller: ScoringCaller;
-  /** Returns the time and attempt limits of a job's route. */
-  readonly findBounds: BoundsFinder;
-  /** Returns how long after acceptance results can be read, in ms. */
-  readonly findRetentionMs: () => number;
-  readonly clock: Clock;
-  readonly log: EventLog;
-  readonly metrics: Metrics;
-  readonly burn: RouteBurnTracker;
-  readonly policy: SchedulingPolicy;
-  /** Called when a later coordinator has taken over. */
-  readonly onSuperseded: (detail: string) => void;
-}
-
 type CallResult<T> = Promise<Result<T, ServiceError>>;
 
 /** The coordinator in one epoch; must be started before it is called. */
 export class JobCoordinator {
   private readonly scheduler: BatchScheduler;
+  private readonly guard: ItemCrashGuard;
   private readonly links: AgentLinks;
   private readonly checkpoint: CheckpointWriter;
   private readonly scorer: JobScorer;
@@ -82,8 +58,10 @@
   private timers: NodeJS.Timeout[] = [];
 
   private constructor(private readonly options: JobCoordinatorOptions) {
+    this.guard = ItemCrashGuard.create(options);
     this.scheduler = BatchScheduler.create({
       ...options,
+      onRunEnded: (...run) => this.guard.recordRunEnd(...run),
       createRunId: () => `${options.epoch}.${(this.runCount += 1)}`,
     });
     const {name, epoch, jobStore, peers, clock, log, onSuperseded} = options;
@@ -312,6 +290,7 @@
     const state = isEnded
       ? this.scheduler.restoreEnded(job, acceptedAtMs, results)
       : this.scheduler.openJob(job, acceptedAtMs, results);
+    if (!isEnded) this.guard.addJob(state);
     const writer = JobWriter.create({
       state,
       jobStore,
@@ -390,6 +369,7 @@
       if (!state.isEnded) writer.schedule();
     }
     void this.checkpoint.writeIfDue();
+    this.guard.update();
     for (const orders of this.scheduler.plan(this.readMs())) {
       void this.links.send(orders);
     }
