Let unnamed streams go on only if every keeper of origins has answered

Cause: an entry that had passed on an equal request before knew one origin, and took keepers that did not answer for ones that know none. Change: without the call's name, a keeper that does not answer means that the stream goes on nowhere; one whose process is gone knows nothing any more and counts not. Ruled out, by the same test of processes: named streams; an entry that is cut off from the store or stands still.

--- a/packages/calls/src/stream_origin_exchange.test.ts
+++ b/packages/calls/src/stream_origin_exchange.test.ts
@@ -9,7 +9,8 @@
   RegisteredNode,
   StreamOriginKeeper,
 } from '@sassafrasspan/peers';
-import {ok} from 'neverthrow';
+import {createError} from '@sassafrasspan/core';
+import {err, ok} from 'neverthrow';
 import {StreamOriginExchange} from './stream_origin_exchange';
 
 const ORIGIN = {service: 'lm', software: 'v1'};
@@ -21,7 +22,7 @@
 const LIST_MS = 60;
 
 /** Creates an exchange whose list of nodes arrives late. */
-function createExchange() {
+function createExchange(answers = true) {
   const startedAtMs = performance.now();
   const isListed = () => performance.now() - startedAtMs > LIST_MS;
   const recordedAt: string[] = [];
@@ -38,6 +39,7 @@
     peers: {
       call: async ({path}: PeerCall<unknown>) => {
         recordedAt.push(path);
+        if (!answers) return err(createError('peer-lost', 'cut off'));
         return ok(ORIGINS_SCHEMA.parse({origins: [ORIGIN]}));
       },
     } as unknown as PeerClient,
@@ -54,6 +56,16 @@
   expect(await exchange.find(NAMES)).toEqual(ORIGIN);
 });
 
+// Guards against streams that are joined from two versions at an entry which is
+// cut off and knows only where an equal request began before.
+test('an equal request goes on where one began that only this entry knows', async () => {
+  const {exchange} = createExchange(false);
+  await exchange.record(NAMES, ORIGIN);
+  const unnamed = {...NAMES, callId: undefined};
+  expect(await exchange.find(unnamed)).toBeUndefined();
+  expect(await exchange.find(NAMES)).toEqual(ORIGIN);
+});
+
 test('an origin is kept by other nodes also if the list of nodes is late', async () => {
   const {exchange, recordedAt} = createExchange();
   await exchange.record(NAMES, ORIGIN);
--- a/packages/calls/src/stream_origin_exchange.ts
+++ b/packages/calls/src/stream_origin_exchange.ts
@@ -81,8 +81,11 @@
     await Promise.all([send(entries), send(others)]);
   }
 
-  /** Returns the origin of a stream; undefined if no keeper knows it, or if equal
-   * requests began at different ones. */
+  /**
+   * Returns the origin of a stream; undefined if no keeper knows it, or if equal
+   * requests began at different ones. Without the call's name, also undefined if a
+   * keeper does not answer, since it may know of another origin.
+   */
   async find(names: StreamNames): Promise<StreamOrigin | undefined> {
     const key = createOriginKey(names);
     const known = this.options.keeper.list(key);
@@ -92,16 +95,20 @@
         ...{path: ORIGIN_PATHS.list, body: {key}},
         ...{schema: ORIGINS_SCHEMA, timeoutMs: FIND_TIMEOUT_MS},
       });
-      return reply.isOk() ? reply.value.origins : [];
+      if (reply.isOk()) return reply.value.origins;
+      // A process that is gone has forgotten what it knew.
+      return reply.error.kind === 'peer-absent' ? [] : undefined;
     });
     if (names.callId === undefined) {
       const origins = await Promise.all(replies);
-      return mergeOrigins([...known, ...origins.flat()]);
+      const answered = origins.filter(origin => origin !== undefined);
+      if (answered.length < origins.length) return undefined;
+      return mergeOrigins([...known, ...answered.flat()]);
     }
     // A call has one origin, so that the first answer is enough.
     return (
       mergeOrigins(known) ??
-      (await findFirst(replies, origins => mergeOrigins(origins)))
+      (await findFirst(replies, origins => mergeOrigins(origins ?? [])))
     );
   }
 
