--- a/packages/calls/src/crash_watch.ts
+++ b/packages/calls/src/crash_watch.ts
@@ -52,8 +52,8 @@
   private readonly probed = new Set<string>();
   /** Fingerprints whose quarantine was logged. */
   private readonly quarantined = new Set<string>();
-  /** Registered endpoints by id; undefined before the first list. */
-  private registered: ReadonlyMap<string, EndpointEntry> | undefined;
+  /** Registered endpoints; undefined before the first list. */
+  private registered: readonly EndpointEntry[] | undefined;
 
   private constructor(private readonly options: CrashWatchOptions) {
     this.exchange = CrashRecordExchange.create({
@@ -133,20 +133,18 @@
 
   /** Compares the endpoints whose requests broke with the registered ones. */
   setEndpoints(endpoints: readonly EndpointEntry[]): void {
-    this.registered = new Map(endpoints.map(entry => [entry.id, entry]));
-    this.updateEndpoints();
-  }
-
-  private updateEndpoints(): void {
-    const {registered} = this;
-    if (registered === undefined) return;
+    this.registered = endpoints;
     for (const life of this.evidence.listOpen()) {
-      const state = classifyLife(life, registered.get(life.id));
+      const state = classifyLife(life, this.findRegistered(life.id));
       if (state === 'leaves') this.evidence.recordLeaving(life);
       else if (state === 'ended') this.endLife(life, 'registration');
     }
   }
 
+  private findRegistered(id: string): EndpointEntry | undefined {
+    return this.registered?.find(entry => entry.id === id);
+  }
+
   /** Records an attempt whose endpoint may have ended before its answer did. */
   private recordLoss(
     {endpoint, fingerprint, requestId}: EndedAttempt,
@@ -155,7 +153,7 @@
   ): void {
     const {clock} = this.options;
     // The end of an endpoint that leaves, or has left, as planned is no crash.
-    const entry = this.registered?.get(endpoint.id);
+    const entry = this.findRegistered(endpoint.id);
     const hasLeft = this.registered !== undefined && entry === undefined;
     if (hasLeft || entry?.isDraining) return;
     const nowMs = clock.readMonotonicMs();
