Take an endpoint that replies again for one that lives

Cause: an endpoint that could not be reached for a while counted as ended for 10 s, so that a connection that broke after it was back implicated its request at once. Change: a reply to a request sent after that takes it back. Result: crash_evidence.test.ts, one test that failed before.

--- a/packages/core/src/runs/crash_evidence.test.ts
+++ b/packages/core/src/runs/crash_evidence.test.ts
@@ -71,6 +71,13 @@
   );
 });
 
+test('a break implicates a request since its endpoint was out of reach before', () => {
+  const evidence = CrashEvidence.create();
+  evidence.recordEnd(LIFE, 0);
+  evidence.recordReply(LIFE, 10);
+  expect(evidence.recordBreak(LIFE, 'page', 20)).toBe(false);
+});
+
 test('two lives of an endpoint under one id count as one', () => {
   const next = {...LIFE, startedAtMs: 2};
   expect(formatCrashId(LIFE)).not.toBe(formatCrashId(next));
--- a/packages/core/src/runs/crash_evidence.ts
+++ b/packages/core/src/runs/crash_evidence.ts
@@ -60,7 +60,12 @@
   /** Records that an endpoint has replied to a request that was sent then. */
   recordReply(life: EndpointLife, sentAtMs: number): void {
     const open = this.attempts.get(formatCrashId(life));
-    if (open === undefined || open.endedAtMs !== undefined) return;
+    if (open === undefined) return;
+    if (open.endedAtMs !== undefined) {
+      // It was out of reach for a while, and lives.
+      if (sentAtMs > open.endedAtMs) this.attempts.delete(formatCrashId(life));
+      return;
+    }
     for (const [fingerprint, brokenAtMs] of open.brokenAtMs) {
       const passedMs = sentAtMs - brokenAtMs;
       if (passedMs < 0 || passedMs > MIN_RESTART_MS) continue;
