--- a/packages/calls/src/crash_record_exchange.ts
+++ b/packages/calls/src/crash_record_exchange.ts
@@ -51,6 +51,9 @@
 });
 const DONE_SCHEMA = z.object({});
 
+/** How a write to the store ended; one without an answer has `failed`. */
+type WriteEnd = 'stored' | 'conflict' | 'failed';
+
 export interface CrashRecordExchangeOptions {
   /** Name of this node. */
   readonly name: string;
@@ -120,9 +123,9 @@
     const claimed = CrashRecords.create(this.mergeStored());
     claimed.addTrial(fingerprint, {id, atMs: clock.readWallMs()});
     records.addTrial(fingerprint, {id, atMs: clock.readWallMs()});
-    const isStored = await this.write(claimed.list());
-    if (!isStored) await this.readStored();
-    return isStored;
+    const written = await this.write(claimed.list());
+    if (written === 'conflict') await this.readStored();
+    return written === 'stored';
   }
 
   private merge(added: readonly CrashRecord[], source: 'node' | 'store'): void {
@@ -189,9 +192,9 @@
     const {random, records, clock} = this.options;
     records.dropExpired(clock.readWallMs());
     while (!this.isStopped && !this.isStored()) {
-      if (await this.write(this.mergeStored())) continue;
-      await this.readStored();
-      if (!this.isStored()) await waitMs(RETRY_MS * (0.5 + random()));
+      const written = await this.write(this.mergeStored());
+      if (written === 'conflict') await this.readStored();
+      if (written !== 'stored') await waitMs(RETRY_MS * (0.5 + random()));
     }
     this.storeTimer = undefined;
   }
@@ -205,7 +208,7 @@
   }
 
   /** Writes the records if the stored ones are those that this node knows. */
-  private async write(records: readonly CrashRecord[]): Promise<boolean> {
+  private async write(records: readonly CrashRecord[]): Promise<WriteEnd> {
     const {store, log} = this.options;
     const value = {records};
     const written = await (this.version === undefined
@@ -218,8 +221,11 @@
         ));
     const detail = written.isErr() ? written.error.detail : undefined;
     log.writeEvent('crash-records-stored', {count: records.length, detail});
-    if (written.isOk()) this.acceptStored({...written.value, value});
-    return written.isOk();
+    if (written.isErr()) {
+      return written.error.kind === 'conflict' ? 'conflict' : 'failed';
+    }
+    this.acceptStored({...written.value, value});
+    return 'stored';
   }
 
   private async readStored(): Promise<void> {
--- a/packages/core/src/runs/crash_records.fuzz.test.ts
+++ b/packages/core/src/runs/crash_records.fuzz.test.ts
@@ -134,6 +134,18 @@
   expect(found.failed).toBe(true);
 });
 
+test('nodes with too many records never agree on which to keep', () => {
+  const [one, other] = [CrashRecords.create(), CrashRecords.create()];
+  for (let n = 0; n < 800; n++) {
+    const records = n % 2 === 0 ? one : other;
+    records.addCrash(`request ${n}`, {id: `crash ${n}`, atMs: n % 7});
+  }
+  one.merge(other.list(), 0);
+  other.merge(one.list(), 0);
+  expect(one.hasAll(other.list()) && other.hasAll(one.list())).toBe(true);
+  expect(one.list().length).toBeLessThan(800);
+});
+
 test('a sound request stays refused once endpoints have ended under it', () => {
   const records = CrashRecords.create();
   for (const id of ['1', '2', '3']) records.addCrash('a', {id, atMs: 0});
--- a/packages/core/src/runs/crash_records.ts
+++ b/packages/core/src/runs/crash_records.ts
@@ -179,12 +179,18 @@
     return true;
   }
 
+  /** Evicts the same record at every node that knows the same ones. */
   private evictOne(): void {
-    const counts = this.list().map(({fingerprint}) => ({
-      fingerprint,
-      crashes: this.countCrashes(fingerprint),
-    }));
-    const fewest = counts.reduce((a, b) => (b.crashes < a.crashes ? b : a));
-    this.records.delete(fewest.fingerprint);
+    const [first] = this.list().sort(compareWorth);
+    this.records.delete(first.fingerprint);
   }
 }
+
+/** Orders records by how many crashes count, then the older before the newer. */
+function compareWorth(a: CrashRecord, b: CrashRecord): number {
+  return (
+    selectValid(a).crashes.length - selectValid(b).crashes.length ||
+    findLastMs(a) - findLastMs(b) ||
+    (a.fingerprint < b.fingerprint ? -1 : 1)
+  );
+}
