Keep trials for later while the store is away; expire evidence once a second

Cause: a trial that the store did not take counted as made, so that an outage could use up both and leave an innocent request refused for an hour; each break looked through all open ones, which grows with their square in an outage. Change: only stored trials count, one claim a second; what is over is removed once a second.

--- a/packages/calls/src/crash_record_exchange.ts
+++ b/packages/calls/src/crash_record_exchange.ts
@@ -35,6 +35,8 @@
 /** Mean time after which a node stores what it has heard from another one, which
  * stores it first unless it is lost, in ms. */
 const STORE_HEARD_MS = 1_000;
+/** Minimum time between two claims of trials, in ms. */
+const CLAIM_INTERVAL_MS = 1_000;
 /** Mean delay before a failed write to the store is repeated, in ms. */
 const RETRY_MS = 500;
 
@@ -74,6 +76,7 @@
   /** Version of the stored object; undefined if there is none. */
   private version: number | undefined;
   private readonly unsent = new Set<string>();
+  private claimedAtMs = -Infinity;
   private isStopped = false;
   private sendTimer: NodeJS.Timeout | undefined;
   private storeTimer: NodeJS.Timeout | undefined;
@@ -116,13 +119,15 @@
 
   /**
    * Records a trial in the store, so that no other node makes it too. Returns
-   * whether this node may; if the store doesn't answer, the trial counts as made.
+   * whether this node may; if the store doesn't answer, nobody may for now.
    */
   async claimTrial(fingerprint: string, id: string): Promise<boolean> {
-    const {records, clock} = this.options;
+    const {clock} = this.options;
+    const nowMs = clock.readMonotonicMs();
+    if (nowMs - this.claimedAtMs < CLAIM_INTERVAL_MS) return false;
+    this.claimedAtMs = nowMs;
     const claimed = CrashRecords.create(this.mergeStored());
     claimed.addTrial(fingerprint, {id, atMs: clock.readWallMs()});
-    records.addTrial(fingerprint, {id, atMs: clock.readWallMs()});
     const written = await this.write(claimed.list());
     if (written === 'conflict') await this.readStored();
     return written === 'stored';
--- a/packages/core/src/runs/crash_evidence.ts
+++ b/packages/core/src/runs/crash_evidence.ts
@@ -12,6 +12,8 @@
 /** Time after which an attempt implicates no request any more, in ms: longer than
  * the registration of a silent endpoint lasts. */
 const OPEN_MS = 10_000;
+/** Minimum time between two removals of what is over, in ms. */
+const EXPIRE_INTERVAL_MS = 1_000;
 /** Bounds what is remembered. */
 const MAX_ENDPOINTS = 1_000;
 
@@ -38,6 +40,7 @@
 
 export class CrashEvidence {
   private readonly attempts = new Map<string, OpenAttempts>();
+  private expiredAtMs = -Infinity;
 
   private constructor() {}
 
@@ -117,6 +120,8 @@
   }
 
   private expire(nowMs: number): void {
+    if (nowMs - this.expiredAtMs < EXPIRE_INTERVAL_MS) return;
+    this.expiredAtMs = nowMs;
     for (const [name, {brokenAtMs, endedAtMs}] of this.attempts) {
       for (const [fingerprint, atMs] of brokenAtMs) {
         if (nowMs - atMs > OPEN_MS) brokenAtMs.delete(fingerprint);
