--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -5,6 +5,7 @@
     '<rootDir>/packages/*/src/**/*.test.ts',
     '<rootDir>/platform/src/**/*.test.ts',
   ],
+  testPathIgnorePatterns: ['/node_modules/', '\\.crowd\\.test\\.ts$'],
   transform: {'^.+\\.ts$': '@swc/jest'},
   testTimeout: 120_000,
   maxWorkers: 4,
--- /dev/null
+++ b/jest.crowds.config.cjs
@@ -0,0 +1,7 @@
+/** Tests of crowds of clients: one at a time, apart from all others. */
+module.exports = {
+  ...require('./jest.config.cjs'),
+  testMatch: ['<rootDir>/platform/src/**/*.crowd.test.ts'],
+  testPathIgnorePatterns: ['/node_modules/'],
+  maxWorkers: 1,
+};
