Decide which clients give way by the progress that they make

Cause: who holds memory or a connection kept it, a byte counted as progress, and the ones who came next were refused. Change: a pace meter tells by how long a client is behind an ordinary one; a table of connections chooses the one that gives way; the memory account cuts those that lag while requests are refused, admits small requests while it is bodies that pass the limit, and bounds open requests, bodies that are held back and answers that arrive. Cuts are a module of their own. Nothing applies it yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './errors/error_kinds';
 export * from './events/event_table';
 export * from './limits/bytes_in_flight';
+export * from './limits/connection_table';
 export * from './limits/customer_limiter';
 export * from './limits/endpoint_limits';
 export * from './limits/limit_split';
--- a/packages/core/src/limits/memory_account.test.ts
+++ b/packages/core/src/limits/memory_account.test.ts
@@ -234,3 +234,67 @@
   ]);
   expect(queued).toBeLessThan(idle);
 });
+
+test('bodies that stop short of their end give way to a request that comes next', () => {
+  const limits = {...LIMITS, patienceMs: 2_000, maxHeldBack: 2};
+  const account = MemoryAccount.create(limits);
+  const stopped = Array.from({length: 41}, () => {
+    const id = account.startRequest('', nextConnection++, 0);
+    account.addBodyBytes(id, MB, 0);
+    return id;
+  });
+  expect(account.admitRequest('', undefined)).toBeDefined();
+  expect(account.planCuts(1_000)).toEqual([]);
+  expect(account.admitRequest('', undefined)).toBeDefined();
+  const cuts = account.planCuts(2_000);
+  expect(cuts.map(({id, reason}) => [id, reason])).toEqual([
+    [stopped[0], 'stalled'],
+  ]);
+  account.endRequest(stopped[0]);
+  expect(account.admitRequest('', undefined)).toBeUndefined();
+});
+
+test('a byte now and then is no progress', () => {
+  const account = MemoryAccount.create({...LIMITS, patienceMs: 2_000});
+  const [slow, fast] = [MB, 40 * MB].map(bytes => {
+    const id = account.startRequest('', nextConnection++, 0);
+    account.addBodyBytes(id, bytes, 0);
+    return id;
+  });
+  for (let nowMs = 0; nowMs <= 3_000; nowMs += 100) {
+    account.addBodyBytes(slow, 1, nowMs);
+    account.addBodyBytes(fast, 2_000, nowMs);
+  }
+  expect(account.admitRequest('', undefined)).toBeDefined();
+  expect(account.planCuts(3_000).map(({id}) => id)).toEqual([slow]);
+});
+
+test('small requests are admitted while bodies pass the soft limit', () => {
+  const account = MemoryAccount.create(LIMITS);
+  const body = account.startRequest('', nextConnection++, 0);
+  account.addBodyBytes(body, 50 * MB, 0);
+  expect(account.admitRequest('', 1_000)).toBeUndefined();
+  expect(account.admitRequest('', undefined)).toBeDefined();
+  account.startRun(body);
+  account.startAnswer(body, 50 * MB, 0);
+  expect(account.admitRequest('', 1_000)).toBeDefined();
+});
+
+test('bodies that are held back and answers that arrive are bounded', () => {
+  const account = MemoryAccount.create({...LIMITS, maxHeldBack: 1});
+  const [first, second] = [1, 2].map(() =>
+    account.startRequest('', nextConnection++, 0),
+  );
+  expect([account.holdBody(first), account.holdBody(second)]).toEqual([
+    true,
+    false,
+  ]);
+  account.resumeBody(first, 0);
+  expect(account.holdBody(second)).toBe(true);
+  account.startRun(first);
+  expect(account.canArrive(50 * MB)).toBe(true);
+  account.setArrivedBytes(first, 50 * MB);
+  expect(account.canArrive(MB)).toBe(false);
+  account.startAnswer(first, MB, 0);
+  expect(account.canArrive(MB)).toBe(true);
+});
--- a/packages/core/src/limits/memory_account.ts
+++ b/packages/core/src/limits/memory_account.ts
@@ -8,6 +8,14 @@
  * with many slow readers beside other customers.
  */
 import {MeasuredMemory} from './measured_memory';
+import {
+  CUT_RANKS,
+  HeldRequest,
+  MemoryCut,
+  MemoryLimits,
+  chooseCuts,
+} from './memory_cuts';
+import {PaceMeter} from './pace_meter';
 
 /** Weight of the newest sample in the mean of what a request leaves unread. */
 const UNREAD_WEIGHT = 1 / 16;
@@ -19,50 +27,8 @@
 const MIN_RETRY_MS = 250;
 const MAX_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
-
-export interface MemoryLimits {
-  /** Above this, bodies are read one at a time, and new requests of customers
-   * that hold their share are refused. */
-  readonly softBytes: number;
-  /** Above this, every new request is refused and connections are cut. */
-  readonly hardBytes: number;
-  /** While requests are refused above the soft limit, a connection that has
-   * read nothing for this time is cut; undefined for no such time. */
-  readonly stallMs: number | undefined;
-}
-
-/** What a request does: `body` is being received, `running` at an endpoint,
- * `streaming` an unfinished answer, `finished` a complete answer. */
-export type HeldStage = 'body' | 'running' | 'streaming' | 'finished';
-
-/** Stages in the order in which they are cut. Running requests are never cut:
- * the endpoint's work would be lost, and their bodies do not grow. */
-const CUT_RANKS: Readonly<Record<HeldStage, number | undefined>> = {
-  body: 0,
-  streaming: 1,
-  finished: 2,
-  running: undefined,
-};
-
-/** What is held for one request and so for its connection. */
-interface HeldRequest {
-  readonly customer: string;
-  /** Number of the connection. */
-  readonly connection: number;
-  bytes: number;
-  stage: HeldStage;
-  /** When the caller last sent or read something. */
-  progressAtMs: number;
-  answeredAtMs: number;
-  /** Whether the mean of unread bytes has a sample of this request. */
-  isSampled: boolean;
-}
-
-/** What is held for all requests of one connection. */
-interface HeldConnection {
-  bytes: number;
-  progressAtMs: number;
-}
+/** Size up to which a body is small. */
+const SMALL_BYTES = 65_536;
 
 /** What is held for one customer. */
 interface HeldCustomer {
@@ -80,17 +46,7 @@
   readonly retryAfterMs: number;
 }
 
-export interface MemoryCut {
-  /** Number of the request for which the connection is cut. */
-  readonly id: number;
-  readonly stage: HeldStage;
-  /** Bytes held for the connection. */
-  readonly bytes: number;
-  /** Time since the caller last sent or read something, in ms. */
-  readonly idleMs: number;
-  /** `hard-limit` or, above the soft limit, `stalled`. */
-  readonly reason: 'hard-limit' | 'stalled';
-}
+export type {HeldStage, MemoryCut, MemoryLimits} from './memory_cuts';
 
 export type MemoryLevel = 'normal' | 'soft' | 'hard';
 
@@ -110,6 +66,9 @@
   private releasedPerMs = 0;
   private tickedAtMs: number | undefined;
   private hasRefused = false;
+  private heldBack = 0;
+  /** Bytes of answers that are still arriving. */
+  private arrivingBytes = 0;
 
   private constructor(private limits: MemoryLimits) {}
 
@@ -124,18 +83,26 @@
   /**
    * Returns why a new request of a customer is refused; undefined if it is
    * admitted. Above the soft limit, customers that hold less than an equal
-   * share of it are still admitted.
+   * share of it are still admitted, and so are small requests while it is bodies that
+   * pass the limit. `bodyBytes` is the
+   * stated length of the body; undefined if it is not known.
    */
-  admitRequest(customer: string): MemoryRefusal | undefined {
+  admitRequest(
+    customer: string,
+    bodyBytes: number | undefined = undefined,
+  ): MemoryRefusal | undefined {
     const {softBytes, hardBytes} = this.limits;
+    const {maxRequests = Infinity} = this.limits;
     const comingBytes = this.estimateComingBytes();
     const expected = this.estimateHeldBytes() + comingBytes;
-    if (expected <= softBytes) return undefined;
+    const hasRoom = this.requests.size < maxRequests;
+    if (expected <= softBytes && hasRoom) return undefined;
     const customerBytes = this.estimateCustomerBytes(customer);
     const isOverShare = customerBytes >= this.computeShare(customer);
-    const isOverHard = this.heldBytes + comingBytes > hardBytes;
+    const isOverHard = !hasRoom || this.heldBytes + comingBytes > hardBytes;
     if (!isOverHard && !isOverShare) return undefined;
     this.hasRefused = true;
+    if (!isOverHard && this.isSmall(bodyBytes)) return undefined;
     return {
       heldBytes: Math.round(expected),
       customerBytes: Math.round(customerBytes),
@@ -157,8 +124,11 @@
       bytes: 0,
       stage: 'body',
       progressAtMs: nowMs,
+      pace: PaceMeter.create(nowMs),
+      isHeldBack: false,
       answeredAtMs: nowMs,
       isSampled: false,
+      arrivedBytes: 0,
     });
     return this.lastId;
   }
@@ -167,9 +137,63 @@
     const request = this.requests.get(id);
     if (request?.stage !== 'body') return;
     request.progressAtMs = nowMs;
+    request.pace.recordBytes(bytes, nowMs);
     this.changeBytes(request, request.bytes + bytes);
   }
 
+  /**
+   * Holds a body back: it is not read until `resumeBody`. Returns false if as many
+   * are held back as may be, since what has arrived of them is held by the kernel.
+   */
+  holdBody(id: number): boolean {
+    const request = this.requests.get(id);
+    if (request === undefined || request.isHeldBack) return true;
+    this.hasRefused = true;
+    if (this.heldBack >= (this.limits.maxHeldBack ?? Infinity)) return false;
+    request.isHeldBack = true;
+    this.heldBack += 1;
+    return true;
+  }
+
+  resumeBody(id: number, nowMs: number): void {
+    const request = this.requests.get(id);
+    if (!request?.isHeldBack) return;
+    request.isHeldBack = false;
+    this.heldBack -= 1;
+    request.pace = PaceMeter.create(nowMs);
+    request.progressAtMs = nowMs;
+  }
+
+  /** An answer of `bytes`, as far as is known, is arriving from an endpoint. Returns by how much
+   * that is more than before. */
+  setArrivedBytes(id: number, bytes: number): number {
+    const request = this.requests.get(id);
+    if (request?.stage !== 'running') return 0;
+    const change = bytes - request.arrivedBytes;
+    request.arrivedBytes = bytes;
+    this.arrivingBytes += change;
+    return Math.max(0, change);
+  }
+
+  /** Returns whether an answer of a size may be read: those that arrive have what
+   * lies between the limits, one of them excepted. */
+  canArrive(bytes: number): boolean {
+    const {softBytes, hardBytes} = this.limits;
+    if (!Number.isFinite(hardBytes) || this.arrivingBytes === 0) return true;
+    return this.arrivingBytes + bytes <= hardBytes - softBytes;
+  }
+
+  /** Returns the bytes held and those of answers that are arriving. */
+  getAllBytes(): number {
+    return this.heldBytes + this.arrivingBytes;
+  }
+
+  /** Returns whether what is held or what arrives exceeds the hard limit. */
+  hasExcess(): boolean {
+    const {hardBytes} = this.limits;
+    return this.heldBytes > hardBytes || this.arrivingBytes > hardBytes;
+  }
+
   /** The whole body has arrived and the request is processed. */
   startRun(id: number): void {
     const request = this.requests.get(id);
@@ -188,16 +212,21 @@
     const request = this.requests.get(id);
     if (request === undefined) return;
     if (request.stage === 'running') this.changeRunning(request, -1);
+    this.arrivingBytes -= request.arrivedBytes;
+    request.arrivedBytes = 0;
     request.stage = stage;
     request.progressAtMs = nowMs;
+    request.pace = PaceMeter.create(nowMs);
     request.answeredAtMs = nowMs;
     this.changeBytes(request, bytes);
   }
 
-  /** The caller has read a part of an answer. */
-  recordProgress(id: number, nowMs: number): void {
+  /** The caller has read a part of an answer, of `bytes`. */
+  recordProgress(id: number, nowMs: number, bytes = 0): void {
     const request = this.requests.get(id);
-    if (request !== undefined) request.progressAtMs = nowMs;
+    if (request === undefined) return;
+    request.progressAtMs = nowMs;
+    request.pace.recordBytes(bytes, nowMs);
   }
 
   endRequest(id: number): void {
@@ -206,6 +235,8 @@
     if (request.stage === 'running') this.changeRunning(request, -1);
     else if (request.stage !== 'body') this.sampleUnread(request, 0);
     this.changeBytes(request, 0);
+    this.arrivingBytes -= request.arrivedBytes;
+    if (request.isHeldBack) this.heldBack -= 1;
     this.requests.delete(id);
     const held = this.customers.get(request.customer);
     if (held === undefined) return;
@@ -253,38 +284,26 @@
     }
   }
 
-  /**
-   * Lists the connections to cut: above the hard limit as many as bring the
-   * account below it (without the correction, since garbage that awaits
-   * collection must not cost a caller its answer), and those that have stalled while requests were refused
-   * since the last call. Customers over their share come first, then bodies
-   * before unfinished and finished answers, then those idle for longest.
-   */
+  /** Lists the connections to cut, see `chooseCuts`; the refusals that it looks
+   * at are those since the last call. What is cut counts as left unread. */
   planCuts(nowMs: number): MemoryCut[] {
-    const {softBytes, hardBytes, stallMs = Infinity} = this.limits;
-    const factor = this.measured.getFactor();
-    let heldBytes = this.heldBytes;
-    let estimatedBytes = this.estimateHeldBytes();
-    const mayCutStalled = this.hasRefused && estimatedBytes > softBytes;
+    const mayCutStalled =
+      this.hasRefused && this.estimateHeldBytes() > this.limits.softBytes;
     this.hasRefused = false;
-    if (heldBytes <= hardBytes && !mayCutStalled) return [];
-    const connections = this.groupByConnection();
-    const cuts: MemoryCut[] = [];
-    for (const [id, request] of this.rankForCuts(connections)) {
-      const connection = connections.get(request.connection);
-      if (connection === undefined) continue;
-      const {stage} = request;
-      const {bytes} = connection;
-      const idleMs = nowMs - connection.progressAtMs;
-      const isOverHard = heldBytes > hardBytes;
-      const isStalled =
-        mayCutStalled && estimatedBytes > softBytes && idleMs >= stallMs;
-      if (!isOverHard && !isStalled) continue;
-      const reason = isOverHard ? 'hard-limit' : 'stalled';
-      cuts.push({id, stage, bytes, idleMs, reason});
-      connections.delete(request.connection);
-      heldBytes -= bytes;
-      estimatedBytes -= bytes * factor;
+    if (!this.hasExcess() && !mayCutStalled) return [];
+    const cuts = chooseCuts({
+      requests: this.requests,
+      limits: this.limits,
+      heldBytes: this.heldBytes,
+      factor: this.measured.getFactor(),
+      overShare: this.listOverShare(),
+      mayCutStalled,
+      nowMs,
+    });
+    for (const {id, stage} of cuts) {
+      const request = this.requests.get(id);
+      if (request === undefined || stage === 'body') continue;
+      this.sampleUnread(request, request.bytes + request.arrivedBytes);
     }
     return cuts;
   }
@@ -306,44 +325,12 @@
     };
   }
 
-  /** A pipelined request makes no progress while the one before it does, so
-   * that idle times are those of connections. */
-  private groupByConnection(): Map<number, HeldConnection> {
-    const connections = new Map<number, HeldConnection>();
-    for (const {connection, bytes, progressAtMs} of this.requests.values()) {
-      const held = connections.get(connection);
-      if (held === undefined) {
-        connections.set(connection, {bytes, progressAtMs});
-      } else {
-        held.bytes += bytes;
-        held.progressAtMs = Math.max(held.progressAtMs, progressAtMs);
-      }
-    }
-    return connections;
-  }
-
-  private rankForCuts(
-    connections: ReadonlyMap<number, HeldConnection>,
-  ): [number, HeldRequest][] {
-    const overShare = new Map<string, boolean>();
-    for (const customer of this.customers.keys()) {
-      const bytes = this.estimateCustomerBytes(customer);
-      overShare.set(customer, bytes > this.computeShare(customer));
-    }
-    const getShareRank = (request: HeldRequest) =>
-      overShare.get(request.customer) ? 0 : 1;
-    const getProgressMs = (request: HeldRequest) =>
-      connections.get(request.connection)?.progressAtMs ?? 0;
-    const getStageRank = (request: HeldRequest) =>
-      CUT_RANKS[request.stage] ?? 0;
-    return [...this.requests]
-      .filter(([, {stage, bytes}]) => bytes > 0 && stage !== 'running')
-      .sort(
-        ([, a], [, b]) =>
-          getShareRank(a) - getShareRank(b) ||
-          getStageRank(a) - getStageRank(b) ||
-          getProgressMs(a) - getProgressMs(b),
-      );
+  /** Lists the customers that hold more than an equal share. */
+  private listOverShare(): ReadonlySet<string> {
+    const names = [...this.customers.keys()].filter(
+      name => this.estimateCustomerBytes(name) > this.computeShare(name),
+    );
+    return new Set(names);
   }
 
   /** Returns an equal part of the soft limit among customers that have open
@@ -353,6 +340,17 @@
     return this.limits.softBytes / (this.customers.size + others);
   }
 
+  /** Returns whether a request will hold little. While unread answers alone pass
+   * the soft limit, the answer to any request may be left unread. */
+  private isSmall(bodyBytes: number | undefined): boolean {
+    if (bodyBytes === undefined || bodyBytes > SMALL_BYTES) return false;
+    let answerBytes = 0;
+    for (const {stage, bytes} of this.requests.values()) {
+      if ((CUT_RANKS[stage] ?? 0) > 0) answerBytes += bytes;
+    }
+    return answerBytes <= this.limits.softBytes;
+  }
+
   private estimateHeldBytes(): number {
     return this.heldBytes * this.measured.getFactor();
   }
