Bound what clients make a process hold, on every port

What callers saw: processes that end (heap, descriptors), exceed the memory of their VM or answer no ordinary request beside a crowd; one body of 1 MB in chunks of 1 byte got no answer. Causes: a chunk was kept as an object with the buffer from which it was read; nothing bounded connections or requests sent at once; process.memoryUsage throws without a descriptor; answers were charged when they were passed on; the schema library lists the faults of each item of a job; the ports for peers had no bounds. Tried and not taken: pausing the request in place of the connection; letting answers wait for callers (front_memory.test.ts shows the endpoint waiting); charging answers with those held (cuts too many).

--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -1,4 +1,5 @@
 /** Routed calls and their answers, independent of any wire format. */
+import type {AnswerMeter} from '@sassafrasspan/runtime';
 import type {
   EndpointEntry,
   ReportedLoad,
@@ -26,6 +27,8 @@
   readonly deadlineAtMs: number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
+  /** Decides when answers are read, and follows them. */
+  readonly answerMeter?: AnswerMeter;
   /** Whether a second endpoint may be called while the first is slow; true by
    * default. */
   readonly mayHedge?: boolean;
--- a/packages/core/src/events/load_events.ts
+++ b/packages/core/src/events/load_events.ts
@@ -14,6 +14,29 @@
     meaning:
       'A connection whose caller did not read or send was cut to release memory.',
   },
+  'connections-closed': {
+    number: 232,
+    level: 'warn',
+    meaning:
+      'Connections of clients were closed since the last such line of the port: `count` of them, by `reason`. The reason is what the connection did when it gave way to another one (`unstarted`, `idle`, `body`, `answer`), `full` if none could give way, `pipelined` for too many open requests, `lagging` for a client that was behind for too long; `maxWaitedMs` is the longest time without progress.',
+  },
+  'client-limits': {
+    number: 235,
+    level: 'info',
+    meaning:
+      'The limits on connections at the start of a process, by use, and the limit on descriptors from which they follow.',
+  },
+  'port-failed': {
+    number: 233,
+    level: 'error',
+    meaning: 'A server could not accept connections; it goes on listening.',
+  },
+  'memory-not-measured': {
+    number: 234,
+    level: 'warn',
+    meaning:
+      'The memory of the process could not be measured; the last measurement holds on. At most once until a measurement succeeds.',
+  },
   'capacity-changed': {
     number: 209,
     level: 'info',
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -2,11 +2,16 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {ServiceError, createError} from '@sassafrasspan/core';
 import {
+  ConnectionGuard,
   EventLog,
+  ExchangeMemory,
+  HeldExchange,
+  Metrics,
   PeerAddress,
+  SYSTEM_CLOCK,
   describeError,
   encodeJson,
-  parseJson,
+  parseBody,
   readBody,
 } from '@sassafrasspan/runtime';
 import {Result, err} from 'neverthrow';
@@ -18,6 +23,8 @@
 /** Time for which idle connections stay open, in ms; nodes call each other
  * often. */
 const KEEP_ALIVE_MS = 60_000;
+/** Name under which the memory account holds what peers send and read. */
+const PEERS = 'peers';
 
 /** Data of a call beside its body. */
 export interface PeerContext {
@@ -50,6 +57,16 @@
   };
 }
 
+/** Bounds of what the calls of other nodes hold; none by default. */
+export interface PeerBounds {
+  readonly maxConnections?: number;
+  /** Maximum size of a decoded body, in bytes. */
+  readonly maxDecodedBytes?: number;
+  /** Account of the process's memory. */
+  readonly memory?: ExchangeMemory;
+  readonly metrics?: Metrics;
+}
+
 /** An HTTP server for the calls of other nodes. */
 export class PeerServer {
   private readonly server: Server;
@@ -57,19 +74,29 @@
   private constructor(
     private readonly routes: PeerRoutes,
     private readonly log: EventLog,
+    private readonly bounds: PeerBounds,
   ) {
     this.server = createServer({keepAliveTimeout: KEEP_ALIVE_MS});
+    const {maxConnections = Infinity, metrics} = bounds;
+    ConnectionGuard.attach(this.server, {
+      ...{port: 'peers', maxConnections, clock: SYSTEM_CLOCK, log, metrics},
+    });
     this.server.on('request', (request, response) => {
       void this.handle(request, response);
     });
   }
 
-  static create(routes: PeerRoutes, log: EventLog): PeerServer {
-    return new PeerServer(routes, log);
+  static create(
+    routes: PeerRoutes,
+    log: EventLog,
+    bounds: PeerBounds = {},
+  ): PeerServer {
+    return new PeerServer(routes, log, bounds);
   }
 
   /** Resolves when the server listens; rejects if it can't. */
   listen(address: PeerAddress): Promise<void> {
+    this.bounds.memory?.start();
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(address.port, address.host, resolve);
@@ -91,24 +118,35 @@
     response.on('close', () => {
       if (!response.writableFinished) controller.abort();
     });
-    const result = await this.run(path, request, controller.signal);
+    const held = this.bounds.memory?.openExchange(request, response, '', PEERS);
+    const result =
+      held !== undefined && 'kind' in held
+        ? err(held)
+        : await this.run(path, request, controller.signal, held);
     const encoded = result.andThen(encodeJson);
     if (result.isOk() && encoded.isErr()) {
       this.log.writeEvent('process-fault', {path, stack: encoded.error.detail});
     }
     if (response.destroyed) return;
     response.statusCode = encoded.isOk() ? 200 : STATUS_ERROR;
-    response.end(
-      encoded.isOk() ? encoded.value : JSON.stringify(encoded.error),
-    );
+    const answer = encoded.isOk()
+      ? encoded.value
+      : JSON.stringify(encoded.error);
+    response.setHeader('Content-Length', Buffer.byteLength(answer));
+    if (held === undefined || 'kind' in held) response.end(answer);
+    else held.writeBody(answer);
   }
 
   private async run(
     path: string,
     request: IncomingMessage,
     signal: AbortSignal,
+    held: HeldExchange | undefined,
   ): Promise<Result<unknown, ServiceError>> {
-    const body = await readBody(request, MAX_BODY_BYTES);
+    const body =
+      held === undefined
+        ? await readBody(request, MAX_BODY_BYTES)
+        : await held.readBody(MAX_BODY_BYTES, KEEP_ALIVE_MS);
     if (body.isErr()) return err(body.error);
     const handler = Object.hasOwn(this.routes, path)
       ? this.routes[path]
@@ -116,7 +154,8 @@
     if (handler === undefined) {
       return err(createError('not-found', `unknown path ${path}`));
     }
-    const value = parseJson(body.value.toString('utf8'));
+    const {maxDecodedBytes = Infinity} = this.bounds;
+    const value = parseBody(body.value, maxDecodedBytes);
     if (value.isErr()) return err(value.error);
     try {
       return await handler(value.value, {signal});
--- a/platform/src/front_memory.ts
+++ b/packages/runtime/src/exchange_memory.ts
@@ -1,7 +1,7 @@
 /**
- * Applies the memory account to the connections of callers: meters bodies and
- * answers, holds bodies back, refuses requests and cuts connections as the
- * account decides.
+ * Applies the memory account to the connections of callers and peers: meters
+ * bodies and answers, holds bodies back, refuses requests and cuts connections as
+ * the account decides.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -14,15 +14,20 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
-import {EventLog, Metrics, readBody} from '@sassafrasspan/runtime';
-import type {Result} from 'neverthrow';
+import {describeError} from './describe_error';
+import type {EventLog} from './log';
+import type {Metrics} from './metrics';
+import {ArrivalQueue} from './arrival_queue';
+import {HeldExchange} from './held_exchange';
+import {GarbageCollector} from './garbage_collector';
+import {dropBody} from './read_body';
 
 /** Interval at which the account is compared with the process, in ms. */
 const CHECK_INTERVAL_MS = 250;
-/** Size of the parts in which an answer is written; each shows progress. */
-const PART_BYTES = 65_536;
+/** Garbage that is collected early, as a part of the soft limit. */
+const GARBAGE_SHARE = 0.25;
 
-export interface FrontMemoryOptions {
+export interface ExchangeMemoryOptions {
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
@@ -34,31 +39,41 @@
   readonly measureBytes?: () => number;
 }
 
-/** Memory held for all connections of an entry's callers. */
-export class FrontMemory {
+/** Memory held for all connections of a process's callers and peers. */
+export class ExchangeMemory {
   private readonly account: MemoryAccount;
   private readonly exchanges = new Map<number, HeldExchange>();
   private readonly paused = new Set<HeldExchange>();
+  private readonly arrivals: ArrivalQueue;
   private level: MemoryLevel = 'normal';
   private readonly connections = new WeakMap<Socket, number>();
   private lastConnection = 0;
   private timer: NodeJS.Timeout | undefined;
+  private isMeasured = true;
+  private readonly collector: GarbageCollector;
 
-  private constructor(private readonly options: FrontMemoryOptions) {
+  private constructor(private readonly options: ExchangeMemoryOptions) {
     this.account = MemoryAccount.create(options.limits);
+    const {softBytes, hardBytes} = options.limits;
+    const waitingBytes = Number.isFinite(hardBytes)
+      ? hardBytes - softBytes
+      : Infinity;
+    this.arrivals = ArrivalQueue.create(waitingBytes);
+    this.collector = GarbageCollector.create(softBytes * GARBAGE_SHARE);
   }
 
-  static create(options: FrontMemoryOptions): FrontMemory {
-    return new FrontMemory(options);
+  static create(options: ExchangeMemoryOptions): ExchangeMemory {
+    return new ExchangeMemory(options);
   }
 
   /** Starts the regular check; it does not keep the process running. */
   start(): void {
-    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
+    this.timer ??= setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
   }
 
   stop(): void {
     clearInterval(this.timer);
+    this.timer = undefined;
   }
 
   /** Sets the time for which a connection may read nothing while requests are
@@ -67,16 +82,18 @@
     this.account.setLimits({...this.options.limits, stallMs});
   }
 
-  /** Returns an error if the request is refused before its body is read. */
+  /** Returns an error if the request is refused before its body is read. Unless a
+   * customer is given, it is found from the headers. */
   openExchange(
     request: IncomingMessage,
     response: ServerResponse,
     requestId: string,
+    customer = this.options.findCustomer?.(request) ?? '',
   ): HeldExchange | ServiceError {
-    const {clock, metrics, findCustomer} = this.options;
-    const customer = findCustomer?.(request) ?? '';
-    const refusal = this.account.admitRequest(customer);
+    const {clock, metrics} = this.options;
+    const refusal = this.admitRequest(customer, readStatedBytes(request));
     if (refusal !== undefined) {
+      dropBody(request);
       metrics.addCount('memory_refusals_total');
       const {heldBytes, customerBytes, softBytes, retryAfterMs} = refusal;
       const detail = `${heldBytes} bytes are held for callers, ${customerBytes} of them for this customer; the limit is ${softBytes}`;
@@ -90,7 +107,14 @@
       this.account,
       clock,
       this.paused,
-      () => this.cutConnections(),
+      {
+        countBytes: bytes => this.countBytes(bytes),
+        arrivals: this.arrivals,
+        refuseArrival: (id, bytes) =>
+          this.cutConnection({
+            ...{id, bytes, stage: 'running', idleMs: 0, reason: 'hard-limit'},
+          }),
+      },
     );
     this.exchanges.set(id, exchange);
     response.on('close', () => {
@@ -100,6 +124,20 @@
     return exchange;
   }
 
+  /** Counts bytes that came in, and cuts connections if they are too many. */
+  private countBytes(bytes: number): void {
+    if (this.account.hasExcess()) this.cutConnections();
+    this.collector.addBytes(bytes, this.account.getAllBytes());
+  }
+
+  /** Cuts those that make no progress before one that comes next is refused. */
+  private admitRequest(customer: string, bodyBytes: number | undefined) {
+    const refusal = this.account.admitRequest(customer, bodyBytes);
+    if (refusal === undefined) return undefined;
+    this.cutConnections();
+    return this.account.admitRequest(customer, bodyBytes);
+  }
+
   private findConnection(socket: Socket): number {
     const known = this.connections.get(socket);
     if (known !== undefined) return known;
@@ -112,6 +150,8 @@
     this.account.endRequest(id);
     this.exchanges.delete(id);
     this.paused.delete(exchange);
+    this.arrivals.remove(id);
+    this.arrivals.advance();
   }
 
   /** Returns the bytes held and the limits, for tests and metrics. */
@@ -120,12 +160,13 @@
   }
 
   private check(): void {
-    const {clock, metrics, measureBytes = measureBuffers} = this.options;
-    this.account.updateMeasured(measureBytes());
+    const {clock, metrics} = this.options;
+    this.measure();
     this.account.advance(clock.readMonotonicMs());
     this.reportLevel();
     this.cutConnections();
     this.resumeBodies();
+    this.arrivals.advance();
     const {heldBytes, estimatedBytes, softBytes, hardBytes} = this.describe();
     metrics.setGauge('held_bytes', {}, heldBytes);
     metrics.setGauge('held_bytes_corrected', {}, estimatedBytes);
@@ -133,6 +174,19 @@
     metrics.setGauge('held_bytes_limit', {limit: 'hard'}, hardBytes);
   }
 
+  /** A measurement fails while the process has no descriptor left. */
+  private measure(): void {
+    const {measureBytes = measureBuffers, log} = this.options;
+    try {
+      this.account.updateMeasured(measureBytes());
+      this.isMeasured = true;
+    } catch (error) {
+      const detail = describeError(error);
+      if (this.isMeasured) log.writeEvent('memory-not-measured', {detail});
+      this.isMeasured = false;
+    }
+  }
+
   private reportLevel(): void {
     const level = this.account.getLevel();
     if (level === this.level) return;
@@ -175,122 +229,8 @@
   return process.memoryUsage().arrayBuffers;
 }
 
-interface Exchange {
-  /** Number in the account. */
-  readonly id: number;
-  readonly requestId: string;
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-}
-
-/** What is held for one request and its answer. */
-export class HeldExchange {
-  private refuse: (error: ServiceError) => void = () => undefined;
-  private readonly refusal = new Promise<ServiceError>(resolve => {
-    this.refuse = resolve;
-  });
-  private idleTimeoutMs = 0;
-
-  private constructor(
-    private readonly exchange: Exchange,
-    private readonly account: MemoryAccount,
-    private readonly clock: Clock,
-    private readonly paused: Set<HeldExchange>,
-    private readonly onHeld: () => void,
-  ) {}
-
-  static create(
-    exchange: Exchange,
-    account: MemoryAccount,
-    clock: Clock,
-    paused: Set<HeldExchange>,
-    onHeld: () => void,
-  ): HeldExchange {
-    return new HeldExchange(exchange, account, clock, paused, onHeld);
-  }
-
-  getRequestId(): string {
-    return this.exchange.requestId;
-  }
-
-  getSocket(): Socket {
-    return this.exchange.request.socket;
-  }
-
-  /** Reads the body, with pauses while memory is short. */
-  async readBody(
-    maxBytes: number,
-    idleTimeoutMs: number,
-  ): Promise<Result<Buffer, ServiceError>> {
-    const {id, request} = this.exchange;
-    this.idleTimeoutMs = idleTimeoutMs;
-    request.socket.setTimeout(idleTimeoutMs);
-    const body = await readBody(request, maxBytes, {
-      onBytes: bytes => this.addBodyBytes(bytes),
-      refusal: this.refusal,
-    });
-    request.socket.setTimeout(0);
-    if (body.isOk()) this.account.startRun(id);
-    return body;
-  }
-
-  private addBodyBytes(bytes: number): void {
-    const {id, request} = this.exchange;
-    this.account.addBodyBytes(id, bytes, this.clock.readMonotonicMs());
-    if (this.account.getLevel() === 'hard') this.onHeld();
-    if (this.account.canRead(id)) return;
-    // The sender is not idle while it is not read.
-    request.socket.setTimeout(0);
-    request.pause();
-    this.paused.add(this);
-  }
-
-  resumeIfAllowed(): void {
-    const {id, request} = this.exchange;
-    if (!this.account.canRead(id)) return;
-    this.paused.delete(this);
-    request.socket.setTimeout(this.idleTimeoutMs);
-    request.resume();
-  }
-
-  /** Writes an answer whose headers are set and ends the response. */
-  writeBody(body: Buffer | string): void {
-    const {id, response} = this.exchange;
-    const length = Buffer.byteLength(body);
-    this.account.startAnswer(id, length, this.clock.readMonotonicMs());
-    if (length <= PART_BYTES) response.end(body);
-    else this.writeParts(Buffer.from(body as Buffer));
-    if (this.account.getLevel() === 'hard') this.onHeld();
-  }
-
-  /** Writes a part each time the caller has read the one before, so that a
-   * caller that reads slowly is told from one that reads nothing. */
-  private writeParts(body: Buffer): void {
-    const {id, response} = this.exchange;
-    let offset = 0;
-    const writeMore = () => {
-      this.account.recordProgress(id, this.clock.readMonotonicMs());
-      while (offset < body.length && !response.destroyed) {
-        const part = body.subarray(offset, offset + PART_BYTES);
-        offset += part.length;
-        if (offset >= body.length) response.end(part);
-        else if (!response.write(part)) return;
-      }
-    };
-    response.on('drain', writeMore);
-    writeMore();
-  }
-
-  /** Cuts the connection; a request whose body is incomplete is refused. */
-  cut(stage: MemoryCut['stage']): void {
-    const {request, response} = this.exchange;
-    if (stage !== 'body') {
-      request.socket.destroy();
-      return;
-    }
-    const detail = 'the body was not read to its end';
-    this.refuse(createError('memory-short', detail));
-    response.setHeader('Connection', 'close');
-    request.resume();
-  }
+/** Returns the stated length of a body; undefined if it is not known. */
+function readStatedBytes({headers}: IncomingMessage): number | undefined {
+  if (headers['transfer-encoding'] !== undefined) return undefined;
+  return Number(headers['content-length'] ?? 0);
 }
--- /dev/null
+++ b/packages/runtime/src/http_call.ts
@@ -0,0 +1,97 @@
+/** Calls of the HTTP client, and how they end. */
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {PeerAddress} from './peer_address';
+
+/** Request and limits of one call. */
+export interface HttpCall {
+  readonly address: PeerAddress;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string | readonly string[]>>;
+  readonly body?: string | Buffer;
+  /** Limit for the entire call, including a retry. */
+  readonly timeoutMs: number;
+  /** Limit for connecting; `DEFAULT_CONNECT_TIMEOUT_MS` by default. */
+  readonly connectTimeoutMs?: number;
+  /** Maximum size of a buffered response body, beyond which the call fails as
+   * `broken`; `DEFAULT_MAX_BODY_BYTES` by default. */
+  readonly maxBodyBytes?: number;
+  /**
+   * Whether the call may be retried once, on a new connection, when a reused
+   * one breaks before any response: peers may close idle connections at any
+   * time.
+   */
+  readonly mayRetry?: boolean;
+  /** Time from the start of the call within which it may be retried, in ms;
+   * unlimited by default. A connection that breaks later was not stale. */
+  readonly retryWindowMs?: number;
+  /**
+   * Returns whether a response belongs to this call. If it doesn't, the
+   * connection is closed and the call fails as `broken`.
+   */
+  readonly isExpectedResponse?: (headers: IncomingHttpHeaders) => boolean;
+  /** Returns whether the request may still be written; asked right before that,
+   * also when the connection has been opened. */
+  readonly mayWrite?: () => boolean;
+  /** Decides when a buffered response body is read, and follows it. */
+  readonly answerMeter?: AnswerMeter;
+  /** Cancels the call and closes its connection. */
+  readonly signal?: AbortSignal;
+}
+
+/** Decides when a response body is read, and follows it. */
+export interface AnswerMeter {
+  /** Calls `start` once a body of the stated size, 0 if unknown, may be read. */
+  admitArrival(bytes: number, start: () => void): void;
+  /** Takes in the size of the body as far as it is known: what its head states, or
+   * what has arrived if that is more. */
+  recordArrived(bytes: number): void;
+}
+
+/** A complete response. */
+export interface HttpReply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  /** Whether only the end of the connection marks that of the body. */
+  readonly isDelimitedByClose: boolean;
+}
+
+/** A response whose headers have arrived and whose body is streamed. */
+export interface HttpStream {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly message: IncomingMessage;
+}
+
+/** Is notified once how a streamed response ended. */
+export interface StreamListener {
+  /** The complete response has arrived. */
+  readonly onComplete: () => void;
+  /** The response was cut off or the call was cancelled. */
+  readonly onFailure: (failure: HttpFailure) => void;
+}
+
+/**
+ * Why a call failed. `refused`: no connection could be made. `unreachable`:
+ * connecting timed out. `timeout`: the call's time limit passed. `broken`: the
+ * connection broke, or the response was invalid or belonged to another call.
+ */
+export type HttpFailureReason =
+  'refused' | 'unreachable' | 'timeout' | 'broken' | 'cancelled';
+
+/** A call that ended without a complete response. */
+export interface HttpFailure {
+  readonly reason: HttpFailureReason;
+  /** Whether the peer may have received any part of the request. */
+  readonly isSent: boolean;
+  /** Whether the response headers had arrived. */
+  readonly isAnswered: boolean;
+  /** Whether the connection had been used by an earlier call. */
+  readonly isReused: boolean;
+  /** Whether the response was larger than allowed. */
+  readonly isOversized: boolean;
+  /** Whether nothing listens at the peer's address. */
+  readonly isPortClosed: boolean;
+  readonly detail: string;
+}
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -6,14 +6,21 @@
   Agent,
   AgentOptions,
   ClientRequest,
-  IncomingHttpHeaders,
   IncomingMessage,
   request,
 } from 'node:http';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
+import {BodyBuffer} from './body_buffer';
 import {isDelimitedByClose, waitForEnd} from './http_response_end';
-import type {PeerAddress} from './peer_address';
+import type {
+  HttpCall,
+  HttpFailure,
+  HttpFailureReason,
+  HttpReply,
+  HttpStream,
+  StreamListener,
+} from './http_call';
 
 /** Time to open a connection: several round trips between regions. */
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
@@ -26,89 +33,6 @@
 /** Idle time after which the kernel sends TCP keep-alive probes. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 
-/** Request and limits of one call. */
-export interface HttpCall {
-  readonly address: PeerAddress;
-  readonly method: string;
-  readonly path: string;
-  readonly headers?: Readonly<Record<string, string | readonly string[]>>;
-  readonly body?: string | Buffer;
-  /** Limit for the entire call, including a retry. */
-  readonly timeoutMs: number;
-  /** Limit for connecting; `DEFAULT_CONNECT_TIMEOUT_MS` by default. */
-  readonly connectTimeoutMs?: number;
-  /** Maximum size of a buffered response body, beyond which the call fails as
-   * `broken`; `DEFAULT_MAX_BODY_BYTES` by default. */
-  readonly maxBodyBytes?: number;
-  /**
-   * Whether the call may be retried once, on a new connection, when a reused
-   * one breaks before any response: peers may close idle connections at any
-   * time.
-   */
-  readonly mayRetry?: boolean;
-  /** Time from the start of the call within which it may be retried, in ms;
-   * unlimited by default. A connection that breaks later was not stale. */
-  readonly retryWindowMs?: number;
-  /**
-   * Returns whether a response belongs to this call. If it doesn't, the
-   * connection is closed and the call fails as `broken`.
-   */
-  readonly isExpectedResponse?: (headers: IncomingHttpHeaders) => boolean;
-  /** Returns whether the request may still be written; asked right before that,
-   * also when the connection has been opened. */
-  readonly mayWrite?: () => boolean;
-  /** Cancels the call and closes its connection. */
-  readonly signal?: AbortSignal;
-}
-
-/** A complete response. */
-export interface HttpReply {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
-  /** Whether only the end of the connection marks that of the body. */
-  readonly isDelimitedByClose: boolean;
-}
-
-/** A response whose headers have arrived and whose body is streamed. */
-export interface HttpStream {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly message: IncomingMessage;
-}
-
-/** Is notified once how a streamed response ended. */
-export interface StreamListener {
-  /** The complete response has arrived. */
-  readonly onComplete: () => void;
-  /** The response was cut off or the call was cancelled. */
-  readonly onFailure: (failure: HttpFailure) => void;
-}
-
-/**
- * Why a call failed. `refused`: no connection could be made. `unreachable`:
- * connecting timed out. `timeout`: the call's time limit passed. `broken`: the
- * connection broke, or the response was invalid or belonged to another call.
- */
-export type HttpFailureReason =
-  'refused' | 'unreachable' | 'timeout' | 'broken' | 'cancelled';
-
-/** A call that ended without a complete response. */
-export interface HttpFailure {
-  readonly reason: HttpFailureReason;
-  /** Whether the peer may have received any part of the request. */
-  readonly isSent: boolean;
-  /** Whether the response headers had arrived. */
-  readonly isAnswered: boolean;
-  /** Whether the connection had been used by an earlier call. */
-  readonly isReused: boolean;
-  /** Whether the response was larger than allowed. */
-  readonly isOversized: boolean;
-  /** Whether nothing listens at the peer's address. */
-  readonly isPortClosed: boolean;
-  readonly detail: string;
-}
-
 /** Options of the agent and, as it passes them on, of its sockets. */
 const AGENT_OPTIONS: AgentOptions & Pick<TcpNetConnectOpts, 'allowHalfOpen'> = {
   keepAlive: true,
@@ -122,12 +46,18 @@
 
 /** Makes calls and reuses their connections. */
 export class HttpClient {
-  private readonly agent = new KeepAliveAgent(AGENT_OPTIONS);
+  private readonly agent: KeepAliveAgent;
 
-  private constructor() {}
+  private constructor(maxConnections: number) {
+    const bounds = Number.isFinite(maxConnections)
+      ? {maxTotalSockets: maxConnections}
+      : {};
+    this.agent = new KeepAliveAgent({...AGENT_OPTIONS, ...bounds});
+  }
 
-  static create(): HttpClient {
-    return new HttpClient();
+  /** `maxConnections` bounds the connections to all peers; further calls wait. */
+  static create(maxConnections = Infinity): HttpClient {
+    return new HttpClient(maxConnections);
   }
 
   /** Makes a call and buffers the complete response. */
@@ -154,22 +84,30 @@
       );
       activeCall.start(message => {
         const {maxBodyBytes = DEFAULT_MAX_BODY_BYTES} = call;
-        const chunks: Buffer[] = [];
-        let size = 0;
-        message.on('data', (chunk: Buffer) => {
-          chunks.push(chunk);
-          size += chunk.length;
-          if (size <= maxBodyBytes) return;
-          chunks.length = 0;
+        const statedBytes = Number(message.headers['content-length'] ?? 0);
+        const expectedBytes = Math.min(statedBytes, maxBodyBytes);
+        const body = BodyBuffer.create(expectedBytes);
+        const readChunk = (chunk: Buffer) => {
+          if (activeCall.hasEnded()) return;
+          body.append(chunk);
+          call.answerMeter?.recordArrived(
+            Math.max(expectedBytes, body.getLength()),
+          );
+          if (body.getLength() <= maxBodyBytes) return;
+          body.clear();
           activeCall.failOversized(`body of over ${maxBodyBytes} bytes`);
-        });
+        };
+        const startReading = () => void message.on('data', readChunk);
+        const {answerMeter} = call;
+        if (answerMeter === undefined) startReading();
+        else answerMeter.admitArrival(expectedBytes, startReading);
         waitForEnd(message, activeCall.handleReset, () => {
           activeCall.finish();
           resolve(
             ok({
               status: message.statusCode ?? 0,
               headers: message.headers,
-              body: Buffer.concat(chunks),
+              body: body.take(),
               isDelimitedByClose: isDelimitedByClose(message),
             }),
           );
@@ -349,6 +287,10 @@
     return timer;
   }
 
+  hasEnded(): boolean {
+    return this.isFinished;
+  }
+
   stopTimers(): void {
     for (const timer of this.timers) clearTimeout(timer);
     this.timers = [];
--- a/packages/runtime/src/http_limits.test.ts
+++ b/packages/runtime/src/http_limits.test.ts
@@ -5,10 +5,10 @@
   HttpLimits,
   HttpServer,
   Route,
-  readBody,
   sendError,
   sendJson,
 } from './http_server';
+import {readBody} from './read_body';
 
 const TEST_TIMEOUT_MS = 10_000;
 const HOST = '127.0.0.1';
--- a/packages/runtime/src/http_server.ts
+++ b/packages/runtime/src/http_server.ts
@@ -6,10 +6,12 @@
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {ErrorKind, ServiceError, createError} from '@sassafrasspan/core';
-import {Result, err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import {formatErrorReply, formatRawError} from './http_errors';
 import {describeError} from './describe_error';
+import {ConnectionGuard, GuardOptions} from './connection_guard';
 import {parseJson} from './json';
+import {readBody} from './read_body';
 
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
@@ -57,6 +59,8 @@
   readonly requestTimeoutMs: number;
   /** Maximum number of concurrent requests; undefined for no limit. */
   readonly maxOpenRequests?: number;
+  /** Bounds of the connections; undefined for none. */
+  readonly guard?: GuardOptions;
 }
 
 /** Limits used where the settings name none. */
@@ -96,6 +100,9 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     });
+    if (limits.guard !== undefined) {
+      ConnectionGuard.attach(server, limits.guard);
+    }
     const created = new HttpServer(server, routes, limits);
     server.on('request', (request, response) => {
       created.trackResponse(response);
@@ -255,56 +262,6 @@
   }
 }
 
-/** Follows the reading of a body and may end it. */
-export interface BodyMeter {
-  /** Called with the size of each part that is kept. */
-  readonly onBytes: (bytes: number) => void;
-  /** Resolves if the rest of the body is to be discarded. */
-  readonly refusal: Promise<ServiceError>;
-}
-
-/**
- * Reads a complete body up to a limit in bytes. A larger body is still read,
- * and discarded, so that the sender can finish and read the error response.
- */
-export function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-  meter?: BodyMeter,
-): Promise<Result<Buffer, ServiceError>> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  let isRefused = false;
-  return new Promise(resolve => {
-    const fail = (kind: ErrorKind, detail: string) =>
-      resolve(err(createError(kind, detail)));
-    void meter?.refusal.then(error => {
-      isRefused = true;
-      chunks.length = 0;
-      resolve(err(error));
-    });
-    const rejectOversized = () => {
-      chunks.length = 0;
-      fail('body-too-large', `the body is over ${maxBytes} bytes`);
-    };
-    if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
-      rejectOversized();
-    }
-    request.on('data', (chunk: Buffer) => {
-      if (isRefused) return;
-      length += chunk.length;
-      if (length > maxBytes) return rejectOversized();
-      chunks.push(chunk);
-      meter?.onBytes(chunk.length);
-    });
-    request.on('end', () => resolve(ok(Buffer.concat(chunks))));
-    request.on('error', error => fail('slow-sender', error.message));
-    request.on('close', () =>
-      fail('slow-sender', 'the client closed the connection'),
-    );
-  });
-}
-
 /** Reads a JSON body up to a limit in bytes. */
 export async function readJsonBody(
   request: IncomingMessage,
--- a/packages/runtime/src/json.ts
+++ b/packages/runtime/src/json.ts
@@ -6,6 +6,10 @@
 import {ServiceError, createError} from '@sassafrasspan/core';
 import {Result, err, ok} from 'neverthrow';
 import {describeError} from './describe_error';
+import {estimateDecodedBytes} from './json_cost';
+
+/** Length of texts whose decoded values always fit, in bytes. */
+const SMALL_TEXT_BYTES = 262_144;
 
 /** Parses JSON; invalid text is a `bad-request` error. */
 export function parseJson(text: string): Result<unknown, ServiceError> {
@@ -16,6 +20,19 @@
   }
 }
 
+/** Parses the JSON of a body, unless its values would take over `maxDecodedBytes`:
+ * that is a `memory-short` error. */
+export function parseBody(
+  body: Buffer,
+  maxDecodedBytes: number,
+): Result<unknown, ServiceError> {
+  const isSmall = body.length <= SMALL_TEXT_BYTES;
+  const decodedBytes = isSmall ? 0 : estimateDecodedBytes(body);
+  if (decodedBytes <= maxDecodedBytes) return parseJson(body.toString('utf8'));
+  const detail = `the decoded body takes ${decodedBytes} bytes; the limit is ${maxDecodedBytes}`;
+  return err(createError('memory-short', detail));
+}
+
 /** Encodes a value as JSON; one that has no JSON form is an `internal` error. */
 export function encodeJson(value: unknown): Result<string, ServiceError> {
   try {
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -19,6 +19,9 @@
     'Endpoints that ended while requests had no answer, by the proof.',
   requests_quarantined_total:
     'Requests found to crash endpoints, here or by another node.',
+  connections_closed_total:
+    'Connections closed to make room or for their requests, by port and reason.',
+  connections_open: 'Open connections of clients and peers, by port.',
   connections_cut_total:
     'Connections cut to release memory, by reason and by what was held.',
   endpoint_sends_held_total:
--- a/packages/server/src/agent/agent_process.ts
+++ b/packages/server/src/agent/agent_process.ts
@@ -30,6 +30,7 @@
 import type {NodeAddresses} from '../shared/node_addresses';
 import {ObjectWatch} from '../shared/object_watch';
 import {NodeComponents, createNodeComponents} from '../shared/node_components';
+import {createPortGuard} from '../shared/port_guards';
 import {createRulesReply} from '../shared/rules_feed';
 import type {AgentSettings} from '../shared/settings_schemas';
 import {AgentRuns} from './agent_runs';
@@ -85,6 +86,7 @@
         this.components.rules.getRuleSet()?.findPool(service)?.endpoints ?? [],
     });
     this.peerServer = NodeServer.createAgent(this.createHandlers());
+    const {log, metrics} = this.components;
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
         metrics: this.components.metrics,
@@ -96,7 +98,10 @@
           ...this.createHeartbeat(),
         }),
       }),
-      DEFAULT_HTTP_LIMITS,
+      {
+        ...DEFAULT_HTTP_LIMITS,
+        guard: createPortGuard('operators', log, metrics),
+      },
     );
   }
 
--- a/packages/server/src/entry/entry_process.ts
+++ b/packages/server/src/entry/entry_process.ts
@@ -17,6 +17,7 @@
 import {HeartbeatStreams} from '../shared/heartbeat_streams';
 import type {NodeAddresses} from '../shared/node_addresses';
 import {NodeComponents, createNodeComponents} from '../shared/node_components';
+import {createPortGuard} from '../shared/port_guards';
 import {createRulesReply} from '../shared/rules_feed';
 import type {EntrySettings} from '../shared/settings_schemas';
 import {encodeDemand, listPeerDemand} from './demand_reports';
@@ -110,6 +111,7 @@
         createRulesReply(this.components.rules, request.newerThan),
       forwardStep: call => this.steps.answerForwarded(call),
     });
+    const {log, metrics} = this.components;
     this.callersServer = HttpServer.create(
       [
         ...createCallerRoutes(
@@ -121,7 +123,10 @@
           settings.limits,
         ),
       ],
-      settings.limits,
+      {
+        ...settings.limits,
+        guard: createPortGuard('callers', log, metrics),
+      },
     );
     this.operatorsServer = HttpServer.create(
       createOperatorsRoutes({
@@ -135,7 +140,10 @@
           latencies: this.latencies.encodeAll(),
         }),
       }),
-      DEFAULT_HTTP_LIMITS,
+      {
+        ...DEFAULT_HTTP_LIMITS,
+        guard: createPortGuard('operators', log, metrics),
+      },
     );
   }
 
