Keep refused connections evictable, and calls of peers out of the crowd's way

Cause, found on reading: a request whose body ended after its refusal left its connection as running, which never gives way; an answer written in parts counted as running until its last part; a body that was refused in the middle of a read could be held back for good; each turn of a body in small chunks added a listener; above the hard limit small calls of peers were refused with those of clients. Change: stages follow the answer; small calls of peers have a reserve.

--- a/packages/core/src/limits/memory_account.ts
+++ b/packages/core/src/limits/memory_account.ts
@@ -27,6 +27,8 @@
 const MIN_RETRY_MS = 250;
 const MAX_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
+/** Open requests that the system itself may add, as a factor of the limit. */
+const RESERVED_REQUESTS_FACTOR = 1.5;
 /** Size up to which a body is small. */
 const SMALL_BYTES = 65_536;
 
@@ -85,24 +87,29 @@
    * admitted. Above the soft limit, customers that hold less than an equal
    * share of it are still admitted, and so are small requests while it is bodies that
    * pass the limit. `bodyBytes` is the
-   * stated length of the body; undefined if it is not known.
+   * stated length of the body; undefined if it is not known. Small requests of the
+   * system itself are reserved: what clients hold refuses none of them.
    */
   admitRequest(
     customer: string,
     bodyBytes: number | undefined = undefined,
+    isReserved = false,
   ): MemoryRefusal | undefined {
     const {softBytes, hardBytes} = this.limits;
-    const {maxRequests = Infinity} = this.limits;
+    const reserve = isReserved ? RESERVED_REQUESTS_FACTOR : 1;
+    const maxRequests = (this.limits.maxRequests ?? Infinity) * reserve;
     const comingBytes = this.estimateComingBytes();
     const expected = this.estimateHeldBytes() + comingBytes;
     const hasRoom = this.requests.size < maxRequests;
+    const isSmall = (bodyBytes ?? Infinity) <= SMALL_BYTES;
+    if (isReserved && isSmall && hasRoom) return undefined;
     if (expected <= softBytes && hasRoom) return undefined;
     const customerBytes = this.estimateCustomerBytes(customer);
     const isOverShare = customerBytes >= this.computeShare(customer);
     const isOverHard = !hasRoom || this.heldBytes + comingBytes > hardBytes;
     if (!isOverHard && !isOverShare) return undefined;
     this.hasRefused = true;
-    if (!isOverHard && this.isSmall(bodyBytes)) return undefined;
+    if (!isOverHard && isSmall && !this.hasUnreadAnswers()) return undefined;
     return {
       heldBytes: Math.round(expected),
       customerBytes: Math.round(customerBytes),
@@ -340,15 +347,14 @@
     return this.limits.softBytes / (this.customers.size + others);
   }
 
-  /** Returns whether a request will hold little. While unread answers alone pass
-   * the soft limit, the answer to any request may be left unread. */
-  private isSmall(bodyBytes: number | undefined): boolean {
-    if (bodyBytes === undefined || bodyBytes > SMALL_BYTES) return false;
+  /** Returns whether unread answers alone pass the soft limit, so that the answer
+   * to any request may be left unread. */
+  private hasUnreadAnswers(): boolean {
     let answerBytes = 0;
     for (const {stage, bytes} of this.requests.values()) {
       if ((CUT_RANKS[stage] ?? 0) > 0) answerBytes += bytes;
     }
-    return answerBytes <= this.limits.softBytes;
+    return answerBytes > this.limits.softBytes;
   }
 
   private estimateHeldBytes(): number {
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -35,6 +35,9 @@
   bytesSent: number;
   /** Requests without a finished answer. */
   openRequests: number;
+  /** Answer to the request that came last. */
+  response: ServerResponse | undefined;
+  stage: Eviction['stage'];
 }
 
 /** Why connections were closed. */
@@ -75,12 +78,14 @@
   private open(socket: Socket): void {
     this.lastId += 1;
     const id = this.lastId;
-    const connection = {
+    const connection: GuardedConnection = {
       id,
       socket,
       bytesRead: 0,
       bytesSent: 0,
       openRequests: 0,
+      response: undefined,
+      stage: 'unstarted' as const,
     };
     this.connections.set(id, connection);
     this.bySocket.set(socket, connection);
@@ -108,8 +113,11 @@
       return this.closeConnection(connection.id, 'pipelined', 0);
     }
     const {id} = connection;
+    connection.response = response;
     this.startStage(connection, hasBody(request) ? 'body' : 'running');
-    request.on('end', () => this.startStage(connection, 'running'));
+    request.on('end', () => {
+      if (!response.writableEnded) this.startStage(connection, 'running');
+    });
     response.on('prefinish', () => this.startStage(connection, 'answer'));
     response.on('close', () => {
       connection.openRequests -= 1;
@@ -125,6 +133,7 @@
     stage: Eviction['stage'],
   ): void {
     const nowMs = this.options.clock.readMonotonicMs();
+    connection.stage = stage;
     this.table.startStage(connection.id, stage, nowMs);
     this.recordProgress(connection, nowMs);
   }
@@ -148,6 +157,7 @@
     const nowMs = clock.readMonotonicMs();
     for (const connection of this.connections.values()) {
       this.recordProgress(connection, nowMs);
+      this.checkAnswer(connection, nowMs);
     }
     for (const {id, waitedMs} of this.table.listLagging(MAX_LAG_MS, nowMs)) {
       this.closeConnection(id, 'lagging', waitedMs);
@@ -161,6 +171,18 @@
     this.closed.clear();
   }
 
+  /** An answer that is written in parts is one from its head on; its reader is not
+   * behind while nothing is unread. */
+  private checkAnswer(connection: GuardedConnection, nowMs: number): void {
+    const {id, response, socket, stage} = connection;
+    if (response === undefined || !response.headersSent) return;
+    if (response.writableFinished || response.destroyed) return;
+    if (stage === 'running') this.startStage(connection, 'answer');
+    if (socket.writableLength === 0) {
+      this.table.recordBytes(id, Infinity, nowMs);
+    }
+  }
+
   private closeConnection(
     id: number,
     reason: CloseReason,
--- a/packages/runtime/src/exchange_memory.ts
+++ b/packages/runtime/src/exchange_memory.ts
@@ -82,16 +82,17 @@
     this.account.setLimits({...this.options.limits, stallMs});
   }
 
-  /** Returns an error if the request is refused before its body is read. Unless a
-   * customer is given, it is found from the headers. */
+  /** Returns an error if the request is refused before its body is read. Calls of
+   * peers have a name in place of a customer, who is found from the headers. */
   openExchange(
     request: IncomingMessage,
     response: ServerResponse,
     requestId: string,
-    customer = this.options.findCustomer?.(request) ?? '',
+    peers?: string,
   ): HeldExchange | ServiceError {
-    const {clock, metrics} = this.options;
-    const refusal = this.admitRequest(customer, readStatedBytes(request));
+    const {clock, metrics, findCustomer} = this.options;
+    const customer = peers ?? findCustomer?.(request) ?? '';
+    const refusal = this.admitRequest(request, customer, peers !== undefined);
     if (refusal !== undefined) {
       dropBody(request);
       metrics.addCount('memory_refusals_total');
@@ -131,11 +132,17 @@
   }
 
   /** Cuts those that make no progress before one that comes next is refused. */
-  private admitRequest(customer: string, bodyBytes: number | undefined) {
-    const refusal = this.account.admitRequest(customer, bodyBytes);
-    if (refusal === undefined) return undefined;
+  private admitRequest(
+    request: IncomingMessage,
+    customer: string,
+    isReserved: boolean,
+  ) {
+    const bodyBytes = readStatedBytes(request);
+    const admit = () =>
+      this.account.admitRequest(customer, bodyBytes, isReserved);
+    if (admit() === undefined) return undefined;
     this.cutConnections();
-    return this.account.admitRequest(customer, bodyBytes);
+    return admit();
   }
 
   private findConnection(socket: Socket): number {
--- a/packages/runtime/src/held_exchange.ts
+++ b/packages/runtime/src/held_exchange.ts
@@ -37,8 +37,12 @@
 export class HeldExchange implements AnswerMeter {
   private refuse: (error: ServiceError) => void = () => undefined;
   private readonly refusal = new Promise<ServiceError>(resolve => {
-    this.refuse = resolve;
+    this.refuse = error => {
+      this.isRefused = true;
+      resolve(error);
+    };
   });
+  private isRefused = false;
   private idleTimeoutMs = 0;
 
   private constructor(
@@ -94,10 +98,11 @@
   }
 
   private addBodyBytes(bytes: number): void {
+    if (this.isRefused) return;
     const {id, request} = this.exchange;
     this.account.addBodyBytes(id, bytes, this.clock.readMonotonicMs());
     this.shared.countBytes(bytes);
-    if (this.account.canRead(id)) return;
+    if (this.isRefused || this.account.canRead(id)) return;
     if (!this.account.holdBody(id)) return this.refuseBody();
     // The sender is not idle while it is not read.
     request.socket.setTimeout(0);
--- a/packages/runtime/src/read_turns.ts
+++ b/packages/runtime/src/read_turns.ts
@@ -13,6 +13,8 @@
 /** Connections that wait until they are read on. */
 export class ReadTurns {
   private readonly waiting = new Set<Socket>();
+  /** Connections that leave the set when they close. */
+  private readonly followed = new WeakSet<Socket>();
   private turnEndsAtMs = 0;
   private timer: NodeJS.Timeout | undefined;
 
@@ -31,13 +33,20 @@
       if (socket.destroyed) return;
       socket.pause();
       this.waiting.add(socket);
-      socket.once('close', () => this.waiting.delete(socket));
+      this.follow(socket);
       const nowMs = performance.now();
-      this.turnEndsAtMs = nowMs + (nowMs - startedAtMs);
+      const endsAtMs = nowMs + (nowMs - startedAtMs);
+      this.turnEndsAtMs = Math.max(this.turnEndsAtMs, endsAtMs);
       this.scheduleTurn();
     });
   }
 
+  private follow(socket: Socket): void {
+    if (this.followed.has(socket)) return;
+    this.followed.add(socket);
+    socket.once('close', () => this.waiting.delete(socket));
+  }
+
   private scheduleTurn(): void {
     if (this.timer !== undefined || this.waiting.size === 0) return;
     const isAlone = this.waiting.size === 1;
