--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -69,6 +69,8 @@
     );
     server.on('error', error => {
       const {port, log} = options;
+      // Whoever starts the server reports a port that cannot be bound.
+      if (!server.listening) return;
       log.writeEvent('port-failed', {port, detail: error.message});
     });
     setInterval(() => guard.sample(), SAMPLE_INTERVAL_MS).unref();
