Let long polls of peers foretell no unread answers

Cause: the coordinator's account counted the long polls of all nodes as running, and expected each to leave the mean of what answers leave unread; over the soft limit, calls of peers over 64 KB were refused. Change: requests of the system itself count neither as running nor in the mean.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,12 @@
 export * from './limits/endpoint_limits';
 export * from './limits/limit_split';
 export * from './limits/memory_account';
+export type {
+  HeldStage,
+  MemoryCut,
+  MemoryLimits,
+  MemoryRefusal,
+} from './limits/memory_cuts';
 export * from './limits/rate_bucket';
 export * from './limits/rate_keeper';
 export * from './membership/fleet_view';
--- a/packages/core/src/limits/memory_account.test.ts
+++ b/packages/core/src/limits/memory_account.test.ts
@@ -298,3 +298,18 @@
   account.startAnswer(first, MB, 0);
   expect(account.canArrive(MB)).toBe(true);
 });
+
+test('long polls of peers foretell no unread answers', () => {
+  const account = MemoryAccount.create(LIMITS);
+  const start = () => {
+    const id = account.startRequest('peers', nextConnection++, 0, true);
+    account.startRun(id);
+    return id;
+  };
+  for (let i = 0; i < 100; i += 1) start();
+  const slow = Array.from({length: 20}, start);
+  for (const id of slow) account.startAnswer(id, MB, 0);
+  account.advance(1_000);
+  for (const id of slow) account.endRequest(id);
+  expect(account.admitRequest('peers', MB, true)).toBeUndefined();
+});
--- a/packages/core/src/limits/memory_account.ts
+++ b/packages/core/src/limits/memory_account.ts
@@ -13,6 +13,7 @@
   HeldRequest,
   MemoryCut,
   MemoryLimits,
+  MemoryRefusal,
   chooseCuts,
 } from './memory_cuts';
 import {PaceMeter} from './pace_meter';
@@ -39,17 +40,6 @@
   requests: number;
 }
 
-export interface MemoryRefusal {
-  /** Bytes that are held or expected, for all customers. */
-  readonly heldBytes: number;
-  /** The same for the customer. */
-  readonly customerBytes: number;
-  readonly softBytes: number;
-  readonly retryAfterMs: number;
-}
-
-export type {HeldStage, MemoryCut, MemoryLimits} from './memory_cuts';
-
 export type MemoryLevel = 'normal' | 'soft' | 'hard';
 
 const NOTHING_HELD: HeldCustomer = {bytes: 0, running: 0, requests: 0};
@@ -85,10 +75,10 @@
   /**
    * Returns why a new request of a customer is refused; undefined if it is
    * admitted. Above the soft limit, customers that hold less than an equal
-   * share of it are still admitted, and so are small requests while it is bodies that
-   * pass the limit. `bodyBytes` is the
-   * stated length of the body; undefined if it is not known. Small requests of the
-   * system itself are reserved: what clients hold refuses none of them.
+   * share of it are still admitted, and so are small requests while it is bodies
+   * that pass the limit. `bodyBytes` is the stated length of the body; undefined if
+   * it is not known. Small requests of the system itself are reserved: what clients
+   * hold refuses none of them.
    */
   admitRequest(
     customer: string,
@@ -119,7 +109,12 @@
   }
 
   /** Begins to account for a request; returns its number. */
-  startRequest(customer: string, connection: number, nowMs: number): number {
+  startRequest(
+    customer: string,
+    connection: number,
+    nowMs: number,
+    isReserved = false,
+  ): number {
     this.lastId += 1;
     const held = this.customers.get(customer);
     if (held === undefined) {
@@ -134,7 +129,8 @@
       pace: PaceMeter.create(nowMs),
       isHeldBack: false,
       answeredAtMs: nowMs,
-      isSampled: false,
+      isSampled: isReserved,
+      isReserved,
       arrivedBytes: 0,
     });
     return this.lastId;
@@ -393,6 +389,7 @@
   }
 
   private changeRunning(request: HeldRequest, change: number): void {
+    if (request.isReserved) return;
     this.running += change;
     const held = this.customers.get(request.customer);
     if (held !== undefined) held.running += change;
--- a/packages/core/src/limits/memory_cuts.ts
+++ b/packages/core/src/limits/memory_cuts.ts
@@ -54,6 +54,9 @@
   answeredAtMs: number;
   /** Whether the mean of unread bytes has a sample of this request. */
   isSampled: boolean;
+  /** Whether it is of the system itself: it waits for long, and what it leaves
+   * unread says nothing of callers. */
+  readonly isReserved: boolean;
   /** Bytes of an answer that is still arriving, as far as they are known. */
   arrivedBytes: number;
 }
@@ -65,6 +68,15 @@
   lagMs: number;
 }
 
+export interface MemoryRefusal {
+  /** Bytes that are held or expected, for all customers. */
+  readonly heldBytes: number;
+  /** The same for the customer. */
+  readonly customerBytes: number;
+  readonly softBytes: number;
+  readonly retryAfterMs: number;
+}
+
 export interface MemoryCut {
   /** Number of the request for which the connection is cut. */
   readonly id: number;
--- a/packages/runtime/src/exchange_memory.ts
+++ b/packages/runtime/src/exchange_memory.ts
@@ -92,7 +92,8 @@
   ): HeldExchange | ServiceError {
     const {clock, metrics, findCustomer} = this.options;
     const customer = peers ?? findCustomer?.(request) ?? '';
-    const refusal = this.admitRequest(request, customer, peers !== undefined);
+    const isReserved = peers !== undefined;
+    const refusal = this.admitRequest(request, customer, isReserved);
     if (refusal !== undefined) {
       dropBody(request);
       metrics.addCount('memory_refusals_total');
@@ -102,7 +103,12 @@
     }
     const nowMs = clock.readMonotonicMs();
     const connection = this.findConnection(request.socket);
-    const id = this.account.startRequest(customer, connection, nowMs);
+    const id = this.account.startRequest(
+      customer,
+      connection,
+      nowMs,
+      isReserved,
+    );
     const exchange = HeldExchange.create(
       {id, requestId, request, response},
       this.account,
