--- a/review/lib2/long_texts.ts
+++ b/review/lib2/long_texts.ts
@@ -35,14 +35,18 @@
     'weight-versions': '1',
   });
   let number = resumedAfter;
-  const timer = setInterval(() => {
+  let timer: NodeJS.Timeout | undefined;
+  const writeEvent = () => {
     number += 1;
-    if (number <= text.length) {
-      response.write(`id: ${number}\ndata: ${text[number - 1]}\n\n`);
+    if (number > text.length) {
+      response.end();
       return;
     }
-    clearInterval(timer);
-    response.end();
-  }, EVENT_MS);
-  response.on('close', () => clearInterval(timer));
+    response.write(`id: ${number}\ndata: ${text[number - 1]}\n\n`);
+    timer = setTimeout(writeEvent, EVENT_MS);
+  };
+  // Prompts take different times to read.
+  const digits = Number.parseInt(itemId.slice(1, 5), 16) || 0;
+  timer = setTimeout(writeEvent, digits % EVENT_MS);
+  response.on('close', () => clearTimeout(timer));
 };
