Review: reserve the network of a case, and tell a failed start from a broken rule

Change: a case reserves its network, outside those of the tests and the soak, and exits with 2 on an error that nobody handles.

--- a/review/lib2/review_case.ts
+++ b/review/lib2/review_case.ts
@@ -1,5 +1,6 @@
 /** Runs one case of the review: starts a deployment, records, and judges. */
 import {appendFileSync, existsSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
 import path from 'node:path';
 import {
   DeployedVm,
@@ -12,8 +13,11 @@
 const LIMIT_MS = 112_000;
 const EXIT_BROKEN = 1;
 const EXIT_NOT_RUN = 2;
-const FIRST_OCTET = 70;
-const OCTETS = 120;
+/** Second octets of the loopback networks of cases, which no test uses. */
+const FIRST_OCTET = 200;
+const OCTETS = 50;
+/** Port whose listener reserves a network. */
+const RESERVATION_PORT = 7_299;
 
 export interface CaseContext {
   /** Whether the disruption happens. */
@@ -57,6 +61,11 @@
     record('the time of the case is over');
     void finish();
   }, LIMIT_MS);
+  process.on('uncaughtException', error => {
+    code = EXIT_NOT_RUN;
+    record(`the case could not run: ${error.stack}`);
+    void finish();
+  });
   try {
     deployment = await startDeployment(options);
     const context = {trouble, deployment, record, readMs};
@@ -70,10 +79,24 @@
   await finish();
 }
 
-/** Uses a network of its own, so that cases can run beside other tests. */
-function startDeployment(options: CaseOptions): Promise<ProcessDeployment> {
-  const octet = FIRST_OCTET + (process.pid % OCTETS);
-  return ProcessDeployment.start(options.size, octet, options.extras);
+/** Uses a network of its own, so that cases can run beside each other. */
+async function startDeployment(
+  options: CaseOptions,
+): Promise<ProcessDeployment> {
+  for (let n = 0; n < OCTETS; n++) {
+    const octet = FIRST_OCTET + ((process.pid + n) % OCTETS);
+    if (!(await reserveNetwork(octet))) continue;
+    return ProcessDeployment.start(options.size, octet, options.extras);
+  }
+  throw new Error('no loopback network is free');
+}
+
+function reserveNetwork(octet: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(RESERVATION_PORT, `127.${octet}.9.9`, () => resolve(true));
+  });
 }
 
 /** Counts how often the process of a VM ended without a signal of the case. */
