Answer an agent's latest sync call with all that is not acknowledged

Cause: a sync call that was held up on its way reached the agent while a later one waited there. The first one to wake took the updates, and its answer went to nobody; the other answered with what came after them, and the coordinator acknowledged its number. For a run that was detached when its job ended, CarryOver.applyUpdate computed a negative index from the gap and went on without the missing events; the next job continued that text.

Change: an answer holds all that is not acknowledged, so that a lost answer takes nothing along; calls state when they were made and only the latest is answered, logged as sync-overtaken; a detached run with a gap is stopped and its text before the gap kept. A late call that is aborted says nothing about the coordinator any more.

--- a/packages/core/src/batch/carry_over.ts
+++ b/packages/core/src/batch/carry_over.ts
@@ -170,10 +170,15 @@
     return {reusable, obsolete};
   }
 
-  /** Applies an update of a run; returns false when the run is not detached. */
+  /** Applies an update of a run. Returns false when the run is not detached, or not
+   * any more because events are missing before the update; its text so far is saved. */
   applyUpdate(update: RunUpdate): boolean {
     const run = this.runs.get(update.runId);
     if (run === undefined) return false;
+    if (update.from > run.events.length) {
+      this.finishRun(run.runId);
+      return false;
+    }
     const fresh = update.events.slice(run.events.length - update.from);
     run.events.push(...decodeEvents(fresh, update.software));
     if (update.end !== undefined) {
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -67,6 +67,10 @@
 export const SYNC_CALL_SCHEMA = z.object({
   home: z.string(),
   epoch: z.number(),
+  /** The coordinator's monotonic clock when it made the call, in ms: of calls that
+   * overtake each other, the agent answers the latest. Absent from nodes with
+   * earlier software. */
+  madeAtMs: z.optional(z.number()),
   /** Number of the last answer that was received; 0 for none. */
   after: z.number(),
   /** IDs of the runs whose results are stored, which the agent may remove. */
--- a/packages/core/src/batch/run_registry.fuzz.test.ts
+++ b/packages/core/src/batch/run_registry.fuzz.test.ts
@@ -12,6 +12,7 @@
   | {type: 'end'; run: number}
   | {type: 'answer'}
   | {type: 'lost'}
+  | {type: 'overtaken'}
   | {type: 'new-coordinator'};
 
 const RUN = fc.integer({min: 0, max: 2});
@@ -20,6 +21,7 @@
   fc.record({type: fc.constant('end' as const), run: RUN}),
   fc.constant({type: 'answer' as const}),
   fc.constant({type: 'lost' as const}),
+  fc.constant({type: 'overtaken' as const}),
   fc.constant({type: 'new-coordinator' as const}),
 );
 
@@ -93,6 +95,14 @@
           registry.acknowledge(collector.received);
           registry.takeUpdates();
         },
+        // Guards against texts with missing events: a call that was held up on its
+        // way takes updates while a later call waits, and its answer is lost.
+        overtaken: () => {
+          registry.acknowledge(collector.received);
+          registry.takeUpdates();
+          const {updates, sequence} = registry.takeUpdates();
+          collector.apply(updates, sequence);
+        },
         'new-coordinator': () => {
           registry.resetAcknowledgements();
           collector = new TextCollector();
--- a/packages/core/src/batch/run_registry.ts
+++ b/packages/core/src/batch/run_registry.ts
@@ -91,11 +91,7 @@
 
   /** Returns whether the coordinator has acknowledged all events and ends. */
   isAllAcknowledged(): boolean {
-    return [...this.runs.values()].every(
-      run =>
-        run.acknowledgedEvents === run.events.length &&
-        run.isEndAcknowledged === (run.end !== undefined),
-    );
+    return [...this.runs.values()].every(isAcknowledged);
   }
 
   /** Removes those of the runs that have ended, since their results are stored. */
@@ -155,12 +151,14 @@
     return Math.max(0, delayMs);
   }
 
-  /** Returns the unsent updates and the number of the answer with them, and marks
-   * them as sent. */
+  /** Returns the updates that the coordinator has not acknowledged and the number of
+   * the answer with them, and marks them as sent. Updates of an earlier answer are
+   * among them, since a call that is no longer read may have taken it. */
   takeUpdates(): {sequence: number; updates: RunUpdate[]} {
     const updates: RunUpdate[] = [];
     for (const run of this.runs.values()) {
-      if (run.unsentSinceMs === undefined) continue;
+      const isSettled = run.unsentSinceMs === undefined && isAcknowledged(run);
+      if (isSettled) continue;
       run.unsentSinceMs = undefined;
       updates.push(createUpdate(run));
       run.sentEvents = run.events.length;
@@ -171,6 +169,13 @@
   }
 }
 
+function isAcknowledged(run: RegisteredRun): boolean {
+  return (
+    run.acknowledgedEvents === run.events.length &&
+    run.isEndAcknowledged === (run.end !== undefined)
+  );
+}
+
 function hasUnsentUpdates(run: RegisteredRun): boolean {
   const hasEnd = run.end !== undefined && !run.isEndSent;
   return hasEnd || run.events.length > run.sentEvents;
@@ -185,9 +190,9 @@
     endpointId,
     software,
     firstEvent: prior.length,
-    from: run.sentEvents,
+    from: run.acknowledgedEvents,
     events: run.events
-      .slice(run.sentEvents)
+      .slice(run.acknowledgedEvents)
       .map(event => [event.data, event.version]),
     end: run.end,
   };
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -126,6 +126,12 @@
     level: 'info',
     meaning: 'An agent stopped a run.',
   },
+  'sync-overtaken': {
+    number: 215,
+    level: 'info',
+    meaning:
+      'An agent refused a sync call since it knows a later one of the coordinator: it was held up on its way. `after` is the number of the last answer that the call acknowledges.',
+  },
   'peer-found': {
     number: 300,
     level: 'info',
--- a/packages/jobs/src/agent_link.ts
+++ b/packages/jobs/src/agent_link.ts
@@ -120,6 +120,7 @@
       body: {
         home: coordinator,
         epoch,
+        madeAtMs: clock.readMonotonicMs(),
         after: this.lastSequence,
         releases,
         waitMs: SYNC_WAIT_MS,
--- a/packages/runs/src/agent_service.test.ts
+++ b/packages/runs/src/agent_service.test.ts
@@ -1,11 +1,13 @@
 /**
- * A hand-over between two coordinators before one agent: both send orders for a
- * while, some of them twice.
+ * Calls of coordinators that reach one agent late, twice or in another order: around
+ * a hand-over, and after the way between them was cut.
  */
 import {
   AgentCommands,
   LoadOrder,
   RunOrder,
+  SYNC_ANSWER_SCHEMA,
+  SyncCall,
   createError,
 } from '@sassafrasspan/core';
 import {EngineRates} from '@sassafrasspan/limits';
@@ -13,8 +15,11 @@
 import {Metrics, SILENT_LOG, SYSTEM_CLOCK} from '@sassafrasspan/runtime';
 import {err, ok} from 'neverthrow';
 import {AgentService} from './agent_service';
+import type {RunListener} from './engine_ports';
 import {WeightLoader} from './weight_loader';
 
+/** Longer than any test takes. */
+const LONG_MS = 30_000;
 const CONTEXT: PeerContext = {signal: new AbortController().signal};
 
 function createOrder(runId: string, itemId: string): RunOrder {
@@ -39,6 +44,7 @@
   const started: string[] = [];
   const stopped: string[] = [];
   const loads: LoadOrder[] = [];
+  const listeners = new Map<string, RunListener>();
   const control = {
     readReport: async () => err(createError('endpoint-failed', 'not asked')),
     orderVersion: async () => ok('accepted' as const),
@@ -50,8 +56,9 @@
     ...common,
     incarnation: 'i',
     runner: {
-      startRun: order => {
+      startRun: (order, listener) => {
         started.push(order.runId);
+        listeners.set(order.runId, listener);
         return () => stopped.push(order.runId);
       },
     },
@@ -77,7 +84,27 @@
     );
     return answer.isOk() ? 'ok' : answer.error.kind;
   };
-  return {send, started, stopped, loads};
+  /** Sends a sync call; returns the numbers of the events in the answer by run, or
+   * the kind of the error. */
+  const sync = async (call: Partial<SyncCall>, context = CONTEXT) => {
+    const answer = await routes['/agent/sync'](
+      {
+        ...{home: 'home-1', epoch: 1, after: 0, releases: []},
+        ...{waitMs: LONG_MS, isAnew: false, ...call},
+      },
+      context,
+    );
+    if (answer.isErr()) return answer.error.kind;
+    const {sequence, updates} = SYNC_ANSWER_SCHEMA.parse(answer.value);
+    const texts = updates.map(({runId, from, events}) => {
+      return [runId, from, events.map(([data]) => data).join(' ')];
+    });
+    return {sequence, texts};
+  };
+  const generate = (runId: string, data: string) => {
+    listeners.get(runId)?.onEvent({data, version: 1});
+  };
+  return {service, send, sync, generate, started, stopped, loads};
 }
 
 test('after a hand-over only the later coordinator is obeyed', async () => {
@@ -132,3 +159,33 @@
     loads: [],
   });
 });
+
+// Guards against texts with missing events: the answer to a call that the coordinator
+// had given up took updates, and the next answer went on after them.
+test('a sync call that arrives after a later one takes no updates', async () => {
+  const {send, sync, generate} = createAgent();
+  await send(1, {starts: [createOrder('1.1', 'a')]});
+  const first = await sync({madeAtMs: 1});
+  const current = sync({madeAtMs: 3, after: 1});
+  const late = await sync({madeAtMs: 2, after: 0, isAnew: true});
+  generate('1.1', 'x');
+  expect({first, late, current: await current}).toEqual({
+    first: {sequence: 1, texts: [['1.1', 0, '']]},
+    late: 'cancelled',
+    current: {sequence: 2, texts: [['1.1', 0, 'x']]},
+  });
+});
+
+// Guards against texts with missing events, as above.
+test('a sync call ends the wait of an earlier one, which takes no updates', async () => {
+  const {send, sync, generate} = createAgent();
+  await send(1, {starts: [createOrder('1.1', 'a')]});
+  await sync({madeAtMs: 1});
+  const earlier = sync({madeAtMs: 2, after: 1});
+  const current = sync({madeAtMs: 3, after: 1});
+  generate('1.1', 'x');
+  expect([await earlier, await current]).toEqual([
+    'cancelled',
+    {sequence: 2, texts: [['1.1', 0, 'x']]},
+  ]);
+});
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -24,6 +24,7 @@
 import {Result, err, ok} from 'neverthrow';
 import * as z from 'zod/mini';
 import type {EngineControl, EngineReport, ItemRunner} from './engine_ports';
+import {SyncOrder} from './sync_order';
 import type {WeightLoader} from './weight_loader';
 
 /** Age by the agent's clock beyond which starts and loads are refused. */
@@ -84,6 +85,7 @@
     epoch: 0,
     lastContactAtMs: -Infinity,
   };
+  private readonly syncOrder = SyncOrder.create();
   private engine = UNREACHABLE_ENGINE;
   /** Whether the engine's state has changed since it was last sent. */
   private hasEngineChanged = true;
@@ -253,19 +255,23 @@
     call: SyncCall,
     context: PeerContext,
   ): Promise<Result<SyncAnswer, ServiceError>> {
-    const refusal = this.acceptCoordinator(call.home, call.epoch);
+    const refusal =
+      this.acceptCoordinator(call.home, call.epoch) ?? this.acceptSync(call);
     if (refusal !== undefined) return err(refusal);
     if (call.isAnew) this.runs.resetAcknowledgements();
     else this.runs.acknowledge(call.after);
     this.runs.release(call.releases);
     await this.waitForUpdates(call, context.signal);
+    if (call.epoch < this.coordinator.epoch) {
+      return err(createError('not-home', 'another coordinator has taken over'));
+    }
+    if (!this.syncOrder.isLatest(call)) {
+      return err(this.createOvertakenError(call));
+    }
     if (context.signal.aborted) {
       this.coordinator.lastContactAtMs = -Infinity;
       return err(createError('cancelled', 'the coordinator closed the call'));
     }
-    if (call.epoch < this.coordinator.epoch) {
-      return err(createError('not-home', 'another coordinator has taken over'));
-    }
     this.coordinator.lastContactAtMs = this.readMs();
     this.hasEngineChanged = false;
     return ok({
@@ -277,12 +283,25 @@
     });
   }
 
+  /** Ends the wait of earlier calls; returns an error if a later one is known. */
+  private acceptSync(call: SyncCall): ServiceError | undefined {
+    if (!this.syncOrder.accept(call)) return this.createOvertakenError(call);
+    this.syncWaiters.wakeAll();
+    return undefined;
+  }
+
+  private createOvertakenError({epoch, after}: SyncCall): ServiceError {
+    this.options.log.writeEvent('sync-overtaken', {epoch, after});
+    return createError('cancelled', 'a later call of the coordinator is known');
+  }
+
   /** Waits until there is something to send, or for the time in the call. */
   private async waitForUpdates(call: SyncCall, signal: AbortSignal) {
     const endsAtMs = this.readMs() + call.waitMs;
     for (;;) {
       const nowMs = this.readMs();
-      const isSuperseded = call.epoch < this.coordinator.epoch;
+      const isSuperseded =
+        call.epoch < this.coordinator.epoch || !this.syncOrder.isLatest(call);
       if (this.hasEngineChanged || signal.aborted || isSuperseded) return;
       const remainingMs = Math.min(
         endsAtMs - nowMs,
