Keep an agent's runs when the coordinator closes its call

Callers saw: texts that began anew or paused on all endpoints when the process of the coordinator ended, or when a sync call that had been held up reached an agent after its sender had closed it.

Cause: a closed call set the last contact to the past, so that an election needs not wait for it. The same value decides whether runs are orphaned, so that the agent stopped them all in its next round, 200 ms later.

Evidence: the new test in agent_service.test.ts failed before; the run was stopped.

--- a/packages/runs/src/agent_service.test.ts
+++ b/packages/runs/src/agent_service.test.ts
@@ -4,6 +4,7 @@
  */
 import {
   AgentCommands,
+  COORDINATOR_CONTACT_SCHEMA,
   LoadOrder,
   RunOrder,
   SYNC_ANSWER_SCHEMA,
@@ -12,7 +13,12 @@
 } from '@sassafrasspan/core';
 import {EngineRates} from '@sassafrasspan/limits';
 import type {PeerContext} from '@sassafrasspan/peers';
-import {Metrics, SILENT_LOG, SYSTEM_CLOCK} from '@sassafrasspan/runtime';
+import {
+  Metrics,
+  SILENT_LOG,
+  SYSTEM_CLOCK,
+  waitMs,
+} from '@sassafrasspan/runtime';
 import {err, ok} from 'neverthrow';
 import {AgentService} from './agent_service';
 import type {RunListener} from './engine_ports';
@@ -20,6 +26,8 @@
 
 /** Longer than any test takes. */
 const LONG_MS = 30_000;
+/** Time within which a contact speaks against an election. */
+const RECENT_CONTACT_MS = 700;
 const CONTEXT: PeerContext = {signal: new AbortController().signal};
 
 function createOrder(runId: string, itemId: string): RunOrder {
@@ -104,7 +112,12 @@
   const generate = (runId: string, data: string) => {
     listeners.get(runId)?.onEvent({data, version: 1});
   };
-  return {service, send, sync, generate, started, stopped, loads};
+  const readContact = async () => {
+    const report = await routes['/agent/home']({}, CONTEXT);
+    return COORDINATOR_CONTACT_SCHEMA.parse(report.isOk() && report.value);
+  };
+  const calls = {send, sync, readContact};
+  return {service, ...calls, generate, started, stopped, loads};
 }
 
 test('after a hand-over only the later coordinator is obeyed', async () => {
@@ -189,3 +202,23 @@
     {sequence: 2, texts: [['1.1', 0, 'x']]},
   ]);
 });
+
+// Guards against runs that end with their coordinator, although the next one would
+// take them over: a closed call counted as 8 s without contact.
+test('runs go on when the coordinator closes its call', async () => {
+  const {service, send, sync, readContact, stopped} = createAgent();
+  void service.run();
+  await send(1, {starts: [createOrder('1.1', 'a')]});
+  await sync({madeAtMs: 1});
+  const controller = new AbortController();
+  const closed = sync({madeAtMs: 2, after: 1}, {signal: controller.signal});
+  controller.abort();
+  await closed;
+  const {agoMs} = await readContact();
+  // Several rounds of the agent.
+  await waitMs(700);
+  const ended = [...stopped];
+  await service.stop();
+  expect(ended).toEqual([]);
+  expect(agoMs).toBeGreaterThan(RECENT_CONTACT_MS);
+});
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -24,6 +24,7 @@
 import {Result, err, ok} from 'neverthrow';
 import * as z from 'zod/mini';
 import type {EngineControl, EngineReport, ItemRunner} from './engine_ports';
+import {KnownCoordinator} from './known_coordinator';
 import {SyncOrder} from './sync_order';
 import type {WeightLoader} from './weight_loader';
 
@@ -32,8 +33,6 @@
 /** Time for the coordinator to fetch remaining updates while stopping. */
 const DRAIN_TIMEOUT_MS = 1_000;
 const DRAIN_CHECK_INTERVAL_MS = 20;
-/** Time without contact with a coordinator after which all runs are stopped. */
-const COORDINATOR_TIMEOUT_MS = 8_000;
 /** Time between engine reports while runs are active. */
 const ACTIVE_REPORT_INTERVAL_MS = 200;
 /** Time between engine reports while a load is pending. */
@@ -68,23 +67,12 @@
   readonly metrics: Metrics;
 }
 
-/** The coordinator with the highest epoch seen. */
-interface KnownCoordinator {
-  readonly name: string;
-  readonly epoch: number;
-  lastContactAtMs: number;
-}
-
 /** Serves the coordinator's calls and manages the runs of one engine. */
 export class AgentService {
   private readonly runs = RunRegistry.create();
   /** Functions that stop active runs at the engine, by run ID. */
   private readonly cancels = new Map<string, () => void>();
-  private coordinator: KnownCoordinator = {
-    name: '',
-    epoch: 0,
-    lastContactAtMs: -Infinity,
-  };
+  private coordinator = KnownCoordinator.create();
   private readonly syncOrder = SyncOrder.create();
   private engine = UNREACHABLE_ENGINE;
   /** Whether the engine's state has changed since it was last sent. */
@@ -112,13 +100,7 @@
         this.applyCommands(commands),
       ),
       '/agent/home': createHandler(z.unknown(), () =>
-        ok({
-          epoch: this.coordinator.epoch,
-          agoMs: Math.min(
-            1e9,
-            this.readMs() - this.coordinator.lastContactAtMs,
-          ),
-        }),
+        ok(this.coordinator.report(this.readMs())),
       ),
     };
   }
@@ -216,12 +198,7 @@
   }
 
   private stopOrphanedRuns(): void {
-    if (
-      this.readMs() - this.coordinator.lastContactAtMs <
-      COORDINATOR_TIMEOUT_MS
-    ) {
-      return;
-    }
+    if (!this.coordinator.isLost(this.readMs())) return;
     for (const run of this.runs.listActive()) {
       this.stopRun(run.order.runId, 'stopped');
     }
@@ -240,14 +217,14 @@
       return createError('not-home', detail);
     }
     if (epoch > this.coordinator.epoch) {
-      this.coordinator = {name, epoch, lastContactAtMs: this.readMs()};
+      this.coordinator = KnownCoordinator.createSuccessor(epoch, this.readMs());
       this.runs.resetAcknowledgements();
       this.options.loader.startEpoch(epoch);
       this.hasEngineChanged = true;
       this.options.log.writeEvent('home-changed', {home: name, epoch});
       this.syncWaiters.wakeAll();
     }
-    this.coordinator.lastContactAtMs = this.readMs();
+    this.coordinator.recordContact(this.readMs());
     return undefined;
   }
 
@@ -269,10 +246,10 @@
       return err(this.createOvertakenError(call));
     }
     if (context.signal.aborted) {
-      this.coordinator.lastContactAtMs = -Infinity;
+      this.coordinator.recordClosedCall();
       return err(createError('cancelled', 'the coordinator closed the call'));
     }
-    this.coordinator.lastContactAtMs = this.readMs();
+    this.coordinator.recordContact(this.readMs());
     this.hasEngineChanged = false;
     return ok({
       epoch: this.coordinator.epoch,
