Treat endpoints that name their leaving in an answer as draining

Cause: no code read the header Server-Leaving; endpoints left only by their registration, which cannot be read while the store is down.

Change: the directory of endpoints remembers who has said so in which life, and takes them as draining whatever their registration says; answers to calls, items and status reports are read, also those that refuse. Only an answer of the expected server counts. An agent passes it on with its engine's state and refuses runs; the coordinator places neither items nor loads there.

--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -57,6 +57,8 @@
       /** Requests per second that the endpoint takes from all nodes together;
        * undefined if it states no limit. */
       readonly limit?: number;
+      /** Whether the endpoint says that it leaves. */
+      readonly isLeaving?: boolean;
       /** Whether only the end of the connection marked that of the answer, as the
        * end of the endpoint may. */
       readonly isDelimitedByClose?: boolean;
@@ -71,6 +73,7 @@
       readonly load: ReportedLoad | undefined;
       /** As in an answer; undefined also if the endpoint has not replied. */
       readonly limit?: number;
+      readonly isLeaving?: boolean;
       /** Whether nothing listens at the endpoint's address. */
       readonly isPortClosed?: boolean;
     }
--- a/packages/calls/src/pending_call.ts
+++ b/packages/calls/src/pending_call.ts
@@ -145,7 +145,7 @@
     this.attempts.delete(controller);
     const nowMs = clock.readMonotonicMs();
     this.recordReply(endpoint, reply, nowMs - startedAtMs, nowMs);
-    this.recordLimit(endpoint, reply, startedAtMs);
+    this.recordStatements(endpoint, reply, startedAtMs);
     if (reply.type === 'answered') {
       call.onAnswered?.(reply.answer.status, endpoint);
     }
@@ -175,9 +175,9 @@
     }
   }
 
-  /** Records the limit that a reply states; only the expected endpoint's own
-   * reply says anything about its limit. */
-  private recordLimit(
+  /** Records what a reply states of its endpoint: a limit, and whether it leaves.
+   * Only the expected endpoint's own reply says anything about it. */
+  private recordStatements(
     endpoint: EndpointEntry,
     reply: AttemptOutcome,
     sentAtMs: number,
@@ -186,7 +186,8 @@
       reply.type === 'answered' ||
       (reply.type === 'not-run' && reply.reason === 'full');
     if (!isReply) return;
-    const {limit} = reply;
+    const {limit, isLeaving = false} = reply;
+    if (isLeaving) this.recordLeaving(endpoint);
     this.options.rateGate.recordAnswer({
       endpointId: endpoint.id,
       limit,
@@ -194,6 +195,16 @@
     });
   }
 
+  private recordLeaving(endpoint: EndpointEntry): void {
+    const {endpoints, log, metrics} = this.options;
+    if (!endpoints.markLeaving(endpoint)) return;
+    metrics.addCount('endpoints_leaving_total');
+    log.writeEvent('endpoint-leaving', {
+      endpoint: endpoint.id,
+      requestId: this.matched.call.id,
+    });
+  }
+
   /** Logs an attempt that may have run and has no complete answer. */
   private reportUnanswered(
     endpoint: EndpointEntry,
--- a/packages/core/src/batch/batch_endpoint.ts
+++ b/packages/core/src/batch/batch_endpoint.ts
@@ -151,12 +151,16 @@
     }
   }
 
+  /** Returns whether the endpoint leaves, by its registration or its own answers,
+   * which may come first. */
+  isLeaving(): boolean {
+    return this.registration.isDraining || this.engine?.isLeaving === true;
+  }
+
   /** Returns whether the endpoint can run items, perhaps after a short pause. */
   isAvailable(): boolean {
     const isReachable = this.engine?.isReachable === true;
-    return (
-      this.isAgentResponding && isReachable && !this.registration.isDraining
-    );
+    return this.isAgentResponding && isReachable && !this.isLeaving();
   }
 
   /** Returns the state of the endpoint for planning; reserved slots count as
--- a/packages/core/src/batch/model_loads.ts
+++ b/packages/core/src/batch/model_loads.ts
@@ -20,7 +20,7 @@
 export function planModelLoads(view: ModelLoadView): PlannedLoad[] {
   const demands = describeDemands(view);
   const usable = view.endpoints.filter(
-    endpoint => endpoint.isAgentResponding && !endpoint.registration.isDraining,
+    endpoint => endpoint.isAgentResponding && !endpoint.isLeaving(),
   );
   const ids = usable.map(endpoint => endpoint.registration.endpointId).sort();
   const shares = demands.map(({model}) => ({
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -128,6 +128,8 @@
   memoryUsed: z.number(),
   /** Requests per second that it takes; absent if it states no limit. */
   limit: z.optional(z.number()),
+  /** Whether it says that it leaves. */
+  isLeaving: z.optional(z.boolean()),
 });
 
 /** Schema of the answer to a `sync` call. */
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -145,7 +145,8 @@
   'endpoint-leaving': {
     number: 302,
     level: 'info',
-    meaning: 'An endpoint is leaving and receives no new work.',
+    meaning:
+      'An endpoint is leaving and receives no new work, by its registration or by its answer to a request.',
   },
   'endpoint-gone': {
     number: 303,
--- a/packages/core/src/fleet/endpoint_directory.ts
+++ b/packages/core/src/fleet/endpoint_directory.ts
@@ -11,6 +11,9 @@
  * The platform specifies about two seconds.
  */
 const LAPSE_GRACE_MS = 2_000;
+/** Maximum number of endpoints that are remembered as leaving; the oldest are
+ * forgotten. */
+const MAX_LEAVING = 1_000;
 
 /** An endpoint as it describes itself. */
 export interface EndpointEntry {
@@ -42,6 +45,9 @@
 /** Registered endpoints by name. */
 export class EndpointDirectory {
   private readonly registrations = new Map<string, Registration>();
+  /** Starts of the incarnations that have said that they leave, by name. They are
+   * remembered beyond their registrations, which may return after an outage. */
+  private readonly leaving = new Map<string, number>();
   private isStoreUnavailable = false;
   private graceEndsAtMs = 0;
 
@@ -74,7 +80,30 @@
 
   /** Adds or replaces an endpoint. */
   put(entry: EndpointEntry): void {
-    this.registrations.set(entry.id, {entry, isLapsed: false});
+    const isLeaving = this.leaving.get(entry.id) === entry.startedAtMs;
+    const known = isLeaving ? {...entry, isDraining: true} : entry;
+    this.registrations.set(entry.id, {entry: known, isLapsed: false});
+  }
+
+  /**
+   * Records that an endpoint has said in an answer that it leaves, which may be
+   * before its registration says so or while the store cannot be read: it is
+   * draining from now on. Returns false if that was known.
+   */
+  markLeaving({id, startedAtMs}: EndpointEntry): boolean {
+    if (this.leaving.get(id) === startedAtMs) return false;
+    this.leaving.delete(id);
+    this.leaving.set(id, startedAtMs);
+    if (this.leaving.size > MAX_LEAVING) {
+      const [oldest] = this.leaving.keys();
+      this.leaving.delete(oldest);
+    }
+    const registration = this.registrations.get(id);
+    if (registration?.entry.startedAtMs !== startedAtMs) return true;
+    const {entry, isLapsed} = registration;
+    const draining = {...entry, isDraining: true};
+    this.registrations.set(id, {entry: draining, isLapsed});
+    return !entry.isDraining;
   }
 
   /**
--- a/packages/runs/src/agent_service.ts
+++ b/packages/runs/src/agent_service.ts
@@ -9,6 +9,7 @@
   AgentCommands,
   Clock,
   EngineState,
+  ErrorKind,
   RunRegistry,
   RunEnd,
   RunOrder,
@@ -190,6 +191,7 @@
     const isUnchanged =
       previous.limit === this.engine.limit &&
       previous.isReachable === state.isReachable &&
+      previous.isLeaving === state.isLeaving &&
       previous.isBusy === state.isBusy &&
       JSON.stringify(previous.versions) === JSON.stringify(state.versions);
     if (isUnchanged) return;
@@ -306,14 +308,21 @@
     return ok({});
   }
 
+  /** Returns the kind of error for which a run must not start; undefined if it may. */
+  private findRefusal(endpointId: string): ErrorKind | undefined {
+    if (this.engine.isLeaving) return 'draining';
+    return this.options.rates.admitRun(endpointId) ? undefined : 'rate-limited';
+  }
+
   private startRun(order: RunOrder): void {
     if (!this.runs.add(order, this.readMs())) return;
     const {runId, itemId, endpointId, jobId} = order;
     const {log, metrics, runner, rates} = this.options;
-    if (!rates.admitRun(endpointId)) {
+    const refusal = this.findRefusal(endpointId);
+    if (refusal !== undefined) {
       this.runs.end(runId, 'not-run', this.readMs());
       const fields = {requestId: itemId, run: runId, endpoint: endpointId};
-      log.writeEvent('run-refused', {...fields, kind: 'rate-limited'});
+      log.writeEvent('run-refused', {...fields, kind: refusal});
       return this.syncWaiters.wakeAll();
     }
     log.writeEvent('run-started', {
@@ -326,9 +335,11 @@
     });
     const startedAtMs = this.readMs();
     const cancel = runner.startRun(order, {
-      onReply: limit => {
+      onReply: ({limit, isLeaving}) => {
         const answer = {endpointId, limit, sentAtMs: startedAtMs};
-        if (rates.recordAnswer(answer)) this.recordEngine(this.engine);
+        const hasChanged = rates.recordAnswer(answer) || isLeaving;
+        const state = isLeaving ? {isLeaving} : {};
+        if (hasChanged) this.recordEngine({...this.engine, ...state});
       },
       onEvent: generated => {
         const event = {...generated, software: order.software};
@@ -372,5 +383,14 @@
 
 function selectState(report: EngineReport): EngineState {
   const {isReachable, versions, isBusy, running, waiting, memoryUsed} = report;
-  return {isReachable, versions, isBusy, running, waiting, memoryUsed};
+  const {isLeaving} = report;
+  return {
+    isReachable,
+    versions,
+    isBusy,
+    running,
+    waiting,
+    memoryUsed,
+    isLeaving,
+  };
 }
--- a/packages/runs/src/engine_ports.ts
+++ b/packages/runs/src/engine_ports.ts
@@ -8,11 +8,18 @@
 } from '@sassafrasspan/core';
 import type {Result} from 'neverthrow';
 
+/** What an engine states of itself in its reply to a run. */
+export interface EngineReply {
+  /** Requests per second that it takes from all nodes together; undefined if it
+   * states no limit. */
+  readonly limit: number | undefined;
+  readonly isLeaving: boolean;
+}
+
 /** Receives the events and the end of a run. */
 export interface RunListener {
-  /** Called once if the engine replies, with the requests per second that it
-   * takes from all nodes together; undefined if it states no limit. */
-  onReply(limit: number | undefined): void;
+  /** Called once if the engine replies, with what it states of itself. */
+  onReply(reply: EngineReply): void;
   onEvent(event: Omit<TextEvent, 'software'>): void;
   /** Called once, after the last event. */
   onEnd(end: RunEnd, detail: string): void;
