Bound all answers that the project's own clients read

Callers saw (reported by other operators): processes that ran out of memory beside a server that sends bytes without end, and the calls of others that ended with them.

Cause: clients read answers with body.text(), body.json() or until a delimiter came, which has no bound but a time limit.

Lint refuses request of undici elsewhere. The reader of events bounds an event, as the one of platform/ does.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -60,6 +60,23 @@
       ],
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    ignores: [
+      'packages/runtime/src/bounded_answer.ts',
+      'packages/{bench,harness,standins}/**',
+    ],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          name: 'undici',
+          importNames: ['request', 'fetch', 'stream', 'pipeline'],
+          message: 'Use BoundedAnswer, which bounds what an answer may hold.',
+        },
+      ],
+    },
+  },
   {
     files: ['bin/**/*.mjs'],
     languageOptions: {globals: {console: 'readonly', process: 'readonly'}},
--- a/packages/engines/src/completion_stream.ts
+++ b/packages/engines/src/completion_stream.ts
@@ -35,6 +35,9 @@
       if (data === STREAM_END) this.isDone = true;
       else this.acceptEvent(data);
     }
+    if (!this.isFailed && this.reader.isOversized()) {
+      this.failRun('endpoint-failed', 'the engine sent an event without end');
+    }
     return !this.isFailed;
   }
 
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -10,13 +10,17 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
-import {classifyCallError} from '@sassafrasspan/runtime';
+import {BoundedAnswer, classifyCallError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {Agent, request} from 'undici';
+import {Agent} from 'undici';
 import {CompletionStream} from './completion_stream';
 import {LOAD_SCHEMA} from './engine_wire';
 
 const CALL_TIMEOUT_MS = 1_000;
+/** Maximum size of a load report or of the answer to an order, in bytes. */
+const MAX_REPORT_BYTES = 1_048_576;
+/** Maximum size of a completion's stream of events, in bytes. */
+const MAX_STREAM_BYTES = 33_554_432;
 /** Time limits of orders by kind. */
 const ORDER_TIMEOUTS_MS: Readonly<Record<EngineOrder['kind'], number>> = {
   stage: 600_000,
@@ -64,26 +68,30 @@
     }
     const deadline = AbortSignal.timeout(run.budgetMs);
     try {
-      const reply = await request(`${this.baseUrl}/v1/completions`, {
-        method: 'POST',
-        headers: {
-          'content-type': 'application/json',
-          'x-request-id': run.requestId,
+      const reply = await BoundedAnswer.request(
+        `${this.baseUrl}/v1/completions`,
+        {
+          method: 'POST',
+          headers: {
+            'content-type': 'application/json',
+            'x-request-id': run.requestId,
+          },
+          body: formatCompletion(run.work.bodyJson, run.priority),
+          dispatcher: this.dispatcher,
+          signal: AbortSignal.any([signal, deadline]),
+          maxBytes: MAX_STREAM_BYTES,
         },
-        body: formatCompletion(run.work.bodyJson, run.priority),
-        dispatcher: this.dispatcher,
-        signal: AbortSignal.any([signal, deadline]),
-      });
-      if (reply.statusCode !== HTTP_OK) {
-        const detail = await reply.body.text();
+      );
+      if (reply.status !== HTTP_OK) {
+        const detail = await reply.readText();
         return sink.fail({
-          error: readStatusError(reply.statusCode, detail),
+          error: readStatusError(reply.status, detail),
           isCrash: false,
         });
       }
       const stream = CompletionStream.create(sink);
-      for await (const bytes of reply.body) {
-        if (!stream.acceptBytes(bytes as Uint8Array)) break;
+      for await (const bytes of reply.readParts()) {
+        if (!stream.acceptBytes(bytes)) break;
       }
       stream.endStream();
     } catch (error) {
@@ -100,11 +108,12 @@
 
   async readLoad(): Promise<Result<EndpointLoad, ServiceError>> {
     try {
-      const reply = await request(`${this.baseUrl}/load`, {
+      const reply = await BoundedAnswer.request(`${this.baseUrl}/load`, {
         dispatcher: this.dispatcher,
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        maxBytes: MAX_REPORT_BYTES,
       });
-      const load = LOAD_SCHEMA.parse(await reply.body.json());
+      const load = LOAD_SCHEMA.parse(await reply.readJson());
       return ok({
         running: load.running,
         waiting: load.waiting,
@@ -120,16 +129,17 @@
 
   async sendOrder(order: EngineOrder): Promise<Result<void, ServiceError>> {
     try {
-      const reply = await request(`${this.baseUrl}/orders`, {
+      const reply = await BoundedAnswer.request(`${this.baseUrl}/orders`, {
         method: 'POST',
         headers: {'content-type': 'application/json'},
         body: JSON.stringify(order),
         dispatcher: this.dispatcher,
         signal: AbortSignal.timeout(ORDER_TIMEOUTS_MS[order.kind]),
+        maxBytes: MAX_REPORT_BYTES,
       });
-      const detail = await reply.body.text();
-      if (reply.statusCode === HTTP_OK) return ok(undefined);
-      if (reply.statusCode === HTTP_CONFLICT) {
+      const detail = await reply.readText();
+      if (reply.status === HTTP_OK) return ok(undefined);
+      if (reply.status === HTTP_CONFLICT) {
         return err(createError('conflict', detail));
       }
       return err(createError('endpoint-failed', detail));
--- a/packages/engines/src/sse_reader.ts
+++ b/packages/engines/src/sse_reader.ts
@@ -2,6 +2,8 @@
 
 const EVENT_END = '\n\n';
 const DATA_FIELD = 'data:';
+/** Maximum size of an event, in characters. */
+const MAX_EVENT_CHARACTERS = 1_048_576;
 
 /** Incremental parser that returns complete events. */
 export class SseReader {
@@ -22,6 +24,11 @@
     this.pending = parts.pop() ?? '';
     return parts.map(readData).filter(data => data !== '');
   }
+
+  /** Returns whether the present event is longer than any may be. */
+  isOversized(): boolean {
+    return this.pending.length > MAX_EVENT_CHARACTERS;
+  }
 }
 
 function readData(event: string): string {
--- a/packages/operators/src/load/load_callers.ts
+++ b/packages/operators/src/load/load_callers.ts
@@ -1,9 +1,15 @@
 /** Sends planned calls to entries and counts their results. */
-import {LatencyHistograms, describeError, waitMs} from '@sassafrasspan/runtime';
-import {request} from 'undici';
+import {
+  BoundedAnswer,
+  LatencyHistograms,
+  describeError,
+  waitMs,
+} from '@sassafrasspan/runtime';
 import type {PlannedCall} from './load_plan';
 
 const CALL_TIMEOUT_MS = 60_000;
+/** Maximum size of an answer, in bytes. */
+const MAX_ANSWER_BYTES = 33_554_432;
 const FIRST_ERROR_STATUS = 400;
 const CONNECTION_LOST = 'connection-lost';
 
@@ -42,7 +48,7 @@
   const {entryUrls, apiKey} = target;
   const url = entryUrls[index % entryUrls.length];
   try {
-    const reply = await request(`${url}${call.path}`, {
+    const reply = await BoundedAnswer.request(`${url}${call.path}`, {
       method: call.method as 'GET',
       body: call.body,
       headers: {
@@ -50,9 +56,10 @@
         'content-type': 'application/json',
       },
       signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      maxBytes: MAX_ANSWER_BYTES,
     });
-    const text = await reply.body.text();
-    const {statusCode: status} = reply;
+    const text = await reply.readText();
+    const {status} = reply;
     const errorKind = String(reply.headers['x-error-kind'] ?? '');
     const isFailed = status >= FIRST_ERROR_STATUS && errorKind === '';
     return {status, errorKind: isFailed ? `status-${status}` : errorKind, text};
--- a/packages/operators/src/node_pages.ts
+++ b/packages/operators/src/node_pages.ts
@@ -3,12 +3,13 @@
  * coordinator.
  */
 import {ServiceError, createError} from '@sassafrasspan/core';
-import {describeError} from '@sassafrasspan/runtime';
+import {BoundedAnswer, describeError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {request} from 'undici';
 import {z} from 'zod';
 
 const PAGE_TIMEOUT_MS = 2_000;
+/** Maximum size of a page, in bytes. */
+const MAX_PAGE_BYTES = 16_777_216;
 
 const ENDPOINT_SCHEMA = z.object({
   name: z.string(),
@@ -103,10 +104,14 @@
   schema: z.ZodType<T>,
 ): Promise<Result<T, ServiceError>> {
   try {
-    const reply = await request(`${url.replace(/\/$/, '')}${path}`, {
-      signal: AbortSignal.timeout(PAGE_TIMEOUT_MS),
-    });
-    return ok(schema.parse(await reply.body.json()));
+    const reply = await BoundedAnswer.request(
+      `${url.replace(/\/$/, '')}${path}`,
+      {
+        signal: AbortSignal.timeout(PAGE_TIMEOUT_MS),
+        maxBytes: MAX_PAGE_BYTES,
+      },
+    );
+    return ok(schema.parse(await reply.readJson()));
   } catch (error) {
     return err(createError('agent-lost', describeError(error)));
   }
--- a/packages/platform/src/object_client.ts
+++ b/packages/platform/src/object_client.ts
@@ -7,13 +7,15 @@
  * took effect.
  */
 import {ServiceError, createError} from '@sassafrasspan/core';
-import {describeError} from '@sassafrasspan/runtime';
+import {BoundedAnswer, describeError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {Agent, request} from 'undici';
+import {Agent} from 'undici';
 import {z} from 'zod';
 
 const CALL_TIMEOUT_MS = 2_000;
 const WATCH_TIMEOUT_MS = 30_000;
+/** Maximum size of an answer, in bytes: a list of all objects of a prefix. */
+const MAX_ANSWER_BYTES = 33_554_432;
 const HTTP_NOT_FOUND = 404;
 const HTTP_CONFLICT = 409;
 
@@ -131,15 +133,16 @@
     body?: string,
   ): Promise<Result<ApiReply, ServiceError>> {
     try {
-      const reply = await request(`${this.baseUrl}${path}`, {
+      const reply = await BoundedAnswer.request(`${this.baseUrl}${path}`, {
         method,
         body,
         dispatcher: this.dispatcher,
         headers: {'content-type': 'application/json'},
         signal: AbortSignal.timeout(timeoutMs),
+        maxBytes: MAX_ANSWER_BYTES,
       });
-      const text = await reply.body.text();
-      return ok({status: reply.statusCode, text});
+      const text = await reply.readText();
+      return ok({status: reply.status, text});
     } catch (error) {
       return err(createError('platform-down', describeError(error)));
     }
--- a/packages/platform/src/vm_list_client.ts
+++ b/packages/platform/src/vm_list_client.ts
@@ -1,11 +1,12 @@
 /** Client of the platform's VM list, which lags behind the actual state. */
 import {ServiceError, createError} from '@sassafrasspan/core';
-import {describeError} from '@sassafrasspan/runtime';
+import {BoundedAnswer, describeError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {request} from 'undici';
 import {z} from 'zod';
 
 const CALL_TIMEOUT_MS = 2_000;
+/** Maximum size of an answer, in bytes: some 100,000 VMs. */
+const MAX_ANSWER_BYTES = 16_777_216;
 
 export const LISTED_VM_SCHEMA = z.object({
   name: z.string(),
@@ -34,10 +35,11 @@
 
   async listVms(): Promise<Result<ListedVm[], ServiceError>> {
     try {
-      const reply = await request(`${this.baseUrl}/vms`, {
+      const reply = await BoundedAnswer.request(`${this.baseUrl}/vms`, {
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        maxBytes: MAX_ANSWER_BYTES,
       });
-      const parsed = VM_LIST_SCHEMA.parse(await reply.body.json());
+      const parsed = VM_LIST_SCHEMA.parse(await reply.readJson());
       return ok(parsed.vms);
     } catch (error) {
       return err(createError('platform-down', describeError(error)));
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -4,6 +4,7 @@
 export * from './describe_error';
 export * from './http_errors';
 export * from './body_buffer';
+export * from './bounded_answer';
 export * from './connection_guard';
 export * from './descriptor_limit';
 export * from './exchange_memory';
--- a/packages/scoring/src/scoring_client.ts
+++ b/packages/scoring/src/scoring_client.ts
@@ -3,12 +3,13 @@
  * reward in reinforcement learning.
  */
 import {ServiceError, createError} from '@sassafrasspan/core';
-import {classifyCallError} from '@sassafrasspan/runtime';
+import {BoundedAnswer, classifyCallError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {request} from 'undici';
 import {z} from 'zod';
 
 const CALL_TIMEOUT_MS = 10_000;
+/** Maximum size of an answer, in bytes. */
+const MAX_ANSWER_BYTES = 1_048_576;
 const SCORE_SCHEMA = z.object({score: z.number()});
 
 /** A sample to score: a prompt and the text generated for it. */
@@ -33,13 +34,14 @@
     sample: ScoreRequest,
   ): Promise<Result<number, ServiceError>> {
     try {
-      const reply = await request(`${this.baseUrl}/score`, {
+      const reply = await BoundedAnswer.request(`${this.baseUrl}/score`, {
         method: 'POST',
         headers: {'content-type': 'application/json'},
         body: JSON.stringify(sample),
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        maxBytes: MAX_ANSWER_BYTES,
       });
-      return ok(SCORE_SCHEMA.parse(await reply.body.json()).score);
+      return ok(SCORE_SCHEMA.parse(await reply.readJson()).score);
     } catch (error) {
       const {message} = classifyCallError(error);
       return err(createError('endpoint-failed', `scoring: ${message}`));
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -14,13 +14,17 @@
   ServiceError,
   createError,
 } from '@sassafrasspan/core';
-import {classifyCallError} from '@sassafrasspan/runtime';
+import {BoundedAnswer, classifyCallError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {Agent, Dispatcher, request} from 'undici';
+import {Agent, Dispatcher} from 'undici';
 import {z} from 'zod';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const CALL_TIMEOUT_MS = 1_000;
+/** Maximum size of a load report, in bytes. */
+const MAX_REPORT_BYTES = 1_048_576;
+/** Maximum size of an answer to a call, in bytes; it is held whole. */
+const MAX_ANSWER_BYTES = 33_554_432;
 
 /**
  * Headers that are not forwarded: hop-by-hop headers, those that the HTTP client
@@ -83,18 +87,19 @@
   ): Promise<void> {
     const deadline = AbortSignal.timeout(run.budgetMs);
     try {
-      const reply = await request(`${this.baseUrl}${work.path}`, {
+      const reply = await BoundedAnswer.request(`${this.baseUrl}${work.path}`, {
         method: work.method as Dispatcher.HttpMethod,
         headers: formatHeaders(work.headers, run.requestId),
         body: work.body.length > 0 ? work.body : null,
         dispatcher: this.dispatcher,
         signal: AbortSignal.any([signal, deadline]),
+        maxBytes: MAX_ANSWER_BYTES,
       });
       const headers = readHeaders(reply.headers);
-      sink.setHead({status: reply.statusCode, headers});
-      for await (const bytes of reply.body) {
+      sink.setHead({status: reply.status, headers});
+      for await (const bytes of reply.readParts()) {
         // Plain services have no weight version and generate no tokens.
-        sink.appendData(bytes as Uint8Array, 0, 0);
+        sink.appendData(bytes, 0, 0);
       }
       sink.finish(PLAIN_END_REPORT);
     } catch (error) {
@@ -112,11 +117,12 @@
 
   async readLoad(): Promise<Result<EndpointLoad, ServiceError>> {
     try {
-      const reply = await request(`${this.baseUrl}/load`, {
+      const reply = await BoundedAnswer.request(`${this.baseUrl}/load`, {
         dispatcher: this.dispatcher,
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        maxBytes: MAX_REPORT_BYTES,
       });
-      const load = LOAD_SCHEMA.parse(await reply.body.json());
+      const load = LOAD_SCHEMA.parse(await reply.readJson());
       return ok({
         ...load,
         kvUsePermille: 0,
--- a/packages/weights/src/weight_store_client.ts
+++ b/packages/weights/src/weight_store_client.ts
@@ -1,10 +1,13 @@
 /** Client of the weight store, which limits the rate of downloads. */
 import {ServiceError, createError} from '@sassafrasspan/core';
-import {classifyCallError} from '@sassafrasspan/runtime';
+import {BoundedAnswer, classifyCallError} from '@sassafrasspan/runtime';
 import {Result, err, ok} from 'neverthrow';
-import {request} from 'undici';
 
 const FETCH_TIMEOUT_MS = 600_000;
+/** Maximum size of weights, in bytes; they are never held whole. */
+const MAX_WEIGHT_BYTES = 4_398_046_511_104;
+/** Maximum size of an error's text, in bytes. */
+const MAX_ERROR_BYTES = 65_536;
 const HTTP_OK = 200;
 const HTTP_TOO_MANY_REQUESTS = 429;
 const MS_PER_SECOND = 1_000;
@@ -31,12 +34,16 @@
   ): Promise<Result<AsyncIterable<Uint8Array>, ServiceError>> {
     try {
       const path = encodeURIComponent(key);
-      const reply = await request(`${this.baseUrl}/weights/${path}`, {
-        signal: AbortSignal.timeout(FETCH_TIMEOUT_MS),
-      });
-      if (reply.statusCode === HTTP_OK) return ok(reply.body);
-      const detail = await reply.body.text();
-      if (reply.statusCode !== HTTP_TOO_MANY_REQUESTS) {
+      const reply = await BoundedAnswer.request(
+        `${this.baseUrl}/weights/${path}`,
+        {
+          signal: AbortSignal.timeout(FETCH_TIMEOUT_MS),
+          maxBytes: MAX_WEIGHT_BYTES,
+        },
+      );
+      if (reply.status === HTTP_OK) return ok(reply.readParts());
+      const detail = await reply.readText(MAX_ERROR_BYTES);
+      if (reply.status !== HTTP_TOO_MANY_REQUESTS) {
         return err(createError('endpoint-failed', detail));
       }
       const seconds = Number(reply.headers['retry-after'] ?? 1);
