Take no answer whose status is outside 200 to 599

Callers saw: answers with status 600 or 999 of a server in trouble, and rewards from such answers.

Cause: one client checked a lower bound only, all others nothing.

Change: HttpClient and BoundedAnswer check the status where answers are read, so that calls, streams, items, rewards and both programs share the check. A failure says that this node rejected the response: it doesn't count as a broken connection, which would implicate the request in a crash.

--- a/packages/runtime/src/bounded_answer.ts
+++ b/packages/runtime/src/bounded_answer.ts
@@ -1,10 +1,11 @@
 /**
  * Answers of other systems, each read within a bound. Without one, an answer that
  * does not end fills the memory long before its time limit. A connection is closed
- * at once when its answer passes a bound.
+ * at once when its answer passes a bound or has an invalid status.
  */
 import {Dispatcher, request} from 'undici';
 import {attachFrameGuard} from './answer_frame_guard';
+import {isValidStatus} from './http_status';
 
 /** Maximum number of interim responses (1xx) before an answer. */
 const MAX_INTERIM_RESPONSES = 8;
@@ -85,6 +86,9 @@
 
   private checkHead(): void {
     const statedBytes = Number(this.headers['content-length'] ?? 0);
+    if (!isValidStatus(this.status)) {
+      this.reject(new Error(`invalid status ${this.status}`));
+    }
     if (statedBytes > this.maxBytes) {
       this.reject(createSizeError(this.maxBytes));
     }
--- a/packages/runtime/src/http_call.ts
+++ b/packages/runtime/src/http_call.ts
@@ -91,6 +91,9 @@
   readonly isReused: boolean;
   /** Whether the response was larger than allowed. */
   readonly isOversized: boolean;
+  /** Whether this node closed the connection since it does not take the response:
+   * it is larger than allowed, or its status is none. */
+  readonly isRejected: boolean;
   /** Whether nothing listens at the peer's address. */
   readonly isPortClosed: boolean;
   readonly detail: string;
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -12,6 +12,7 @@
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
 import {BodyBuffer} from './body_buffer';
+import {isValidStatus} from './http_status';
 import {isDelimitedByClose, waitForEnd} from './http_response_end';
 import type {
   HttpCall,
@@ -191,6 +192,7 @@
   private isAnswered = false;
   private isFinished = false;
   private isOversized = false;
+  private isRejected = false;
   private isPortClosed = false;
   private timers: NodeJS.Timeout[] = [];
   private readonly cancel = () =>
@@ -240,6 +242,10 @@
         return this.fail('broken', 'the response belongs to another call');
       }
       this.isAnswered = true;
+      const {statusCode = 0} = message;
+      if (!isValidStatus(statusCode)) {
+        return this.reject(`invalid status ${statusCode}`);
+      }
       message.on('error', error => this.failWithError(error));
       message.on('aborted', () =>
         this.fail('broken', 'the response was cut off'),
@@ -312,6 +318,12 @@
 
   failOversized(detail: string): void {
     this.isOversized = true;
+    this.reject(detail);
+  }
+
+  /** Fails since the response is not one that this node takes. */
+  private reject(detail: string): void {
+    this.isRejected = true;
     this.fail('broken', detail);
   }
 
@@ -319,9 +331,11 @@
     if (this.isFinished) return;
     this.finish();
     this.request.destroy();
-    const {isSent, isAnswered, isOversized, isPortClosed} = this;
+    const {isSent, isAnswered, isOversized, isRejected, isPortClosed} = this;
     const isReused = this.request.reusedSocket;
     const connection = {isSent, isAnswered, isReused, isPortClosed};
-    this.onFailure({reason, ...connection, isOversized, detail});
+    this.onFailure({
+      ...{reason, ...connection, isOversized, isRejected, detail},
+    });
   }
 }
