Let the endpoint that sends most give way while answers arrive

Callers saw: beside a server that sends answers without end, calls cut off without an answer, and ordinary calls to other endpoints refused with 503.

Cause: the bytes of an answer were charged to the caller who had asked for it. When they passed the limit the caller's connection was closed; an answer that stated a large size, or found no room to wait, did the same at once. What arrived also counted as a correction of what callers hold, so that new requests were refused.

Change: AnswerArrivals, without I/O, counts what arrives against the endpoint. The one that holds most gives way: its largest answer is dropped, its call goes on as after a broken connection (a whole 502, or the next attempt), logged and counted. Small answers never wait; a stated size over the bound fails at its head.

--- a/packages/core/src/events/load_events.ts
+++ b/packages/core/src/events/load_events.ts
@@ -14,6 +14,12 @@
     meaning:
       'A connection whose caller did not read or send was cut to release memory.',
   },
+  'answer-dropped': {
+    number: 236,
+    level: 'warn',
+    meaning:
+      'An answer was not read on since its endpoint, at `source`, held most of the memory for answers that arrive; the call fails there.',
+  },
   'connections-closed': {
     number: 232,
     level: 'warn',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from './burn/promise_kinds';
 export * from './errors/error_kinds';
 export * from './events/event_table';
+export * from './limits/answer_arrivals';
 export * from './limits/bytes_in_flight';
 export * from './limits/connection_table';
 export * from './limits/customer_limiter';
--- a/packages/core/src/limits/memory_account.ts
+++ b/packages/core/src/limits/memory_account.ts
@@ -59,8 +59,6 @@
   private tickedAtMs: number | undefined;
   private hasRefused = false;
   private heldBack = 0;
-  /** Bytes of answers that are still arriving. */
-  private arrivingBytes = 0;
 
   private constructor(private limits: MemoryLimits) {}
 
@@ -131,7 +129,6 @@
       answeredAtMs: nowMs,
       isSampled: isReserved,
       isReserved,
-      arrivedBytes: 0,
     });
     return this.lastId;
   }
@@ -167,34 +164,13 @@
     request.progressAtMs = nowMs;
   }
 
-  /** An answer of `bytes`, as far as is known, is arriving from an endpoint. Returns by how much
-   * that is more than before. */
-  setArrivedBytes(id: number, bytes: number): number {
-    const request = this.requests.get(id);
-    if (request?.stage !== 'running') return 0;
-    const change = bytes - request.arrivedBytes;
-    request.arrivedBytes = bytes;
-    this.arrivingBytes += change;
-    return Math.max(0, change);
-  }
-
-  /** Returns whether an answer of a size may be read: those that arrive have what
-   * lies between the limits, one of them excepted. */
-  canArrive(bytes: number): boolean {
-    const {softBytes, hardBytes} = this.limits;
-    if (!Number.isFinite(hardBytes) || this.arrivingBytes === 0) return true;
-    return this.arrivingBytes + bytes <= hardBytes - softBytes;
+  getHeldBytes(): number {
+    return this.heldBytes;
   }
 
-  /** Returns the bytes held and those of answers that are arriving. */
-  getAllBytes(): number {
-    return this.heldBytes + this.arrivingBytes;
-  }
-
-  /** Returns whether what is held or what arrives exceeds the hard limit. */
+  /** Returns whether what is held exceeds the hard limit. */
   hasExcess(): boolean {
-    const {hardBytes} = this.limits;
-    return this.heldBytes > hardBytes || this.arrivingBytes > hardBytes;
+    return this.heldBytes > this.limits.hardBytes;
   }
 
   /** The whole body has arrived and the request is processed. */
@@ -215,8 +191,6 @@
     const request = this.requests.get(id);
     if (request === undefined) return;
     if (request.stage === 'running') this.changeRunning(request, -1);
-    this.arrivingBytes -= request.arrivedBytes;
-    request.arrivedBytes = 0;
     request.stage = stage;
     request.progressAtMs = nowMs;
     request.pace = PaceMeter.create(nowMs);
@@ -238,7 +212,6 @@
     if (request.stage === 'running') this.changeRunning(request, -1);
     else if (request.stage !== 'body') this.sampleUnread(request, 0);
     this.changeBytes(request, 0);
-    this.arrivingBytes -= request.arrivedBytes;
     if (request.isHeldBack) this.heldBack -= 1;
     this.requests.delete(id);
     const held = this.customers.get(request.customer);
@@ -306,7 +279,7 @@
     for (const {id, stage} of cuts) {
       const request = this.requests.get(id);
       if (request === undefined || stage === 'body') continue;
-      this.sampleUnread(request, request.bytes + request.arrivedBytes);
+      this.sampleUnread(request, request.bytes);
     }
     return cuts;
   }
--- a/packages/core/src/limits/memory_cuts.ts
+++ b/packages/core/src/limits/memory_cuts.ts
@@ -29,8 +29,8 @@
  * `streaming` an unfinished answer, `finished` a complete answer. */
 export type HeldStage = 'body' | 'running' | 'streaming' | 'finished';
 
-/** Stages in the order in which they are cut. Running requests are cut only if
- * their answers alone exceed the hard limit: the endpoint's work is lost. */
+/** Stages in the order in which they are cut. Running requests are
+ * not cut: the endpoint's work would be lost. */
 export const CUT_RANKS: Readonly<Record<HeldStage, number | undefined>> = {
   body: 0,
   streaming: 1,
@@ -57,8 +57,6 @@
   /** Whether it is of the system itself: it waits for long, and what it leaves
    * unread says nothing of callers. */
   readonly isReserved: boolean;
-  /** Bytes of an answer that is still arriving, as far as they are known. */
-  arrivedBytes: number;
 }
 
 /** What is held for all requests of one connection. */
@@ -108,8 +106,8 @@
  * below it (without the correction, since garbage that awaits collection must not
  * cost a caller its answer), and those that have stalled or lag while requests
  * were refused. Customers over their share come first, then bodies before
- * unfinished and finished answers, then those idle for longest; last, if need be,
- * running requests whose answers arrive, if those alone exceed the hard limit.
+ * unfinished and finished answers, then those idle for longest. Running requests
+ * are not cut: the endpoint's work would be lost.
  */
 export function chooseCuts(context: CutContext): MemoryCut[] {
   const {requests, limits, factor, mayCutStalled, nowMs} = context;
@@ -135,7 +133,7 @@
     heldBytes -= bytes;
     estimatedBytes -= bytes * factor;
   }
-  return [...cuts, ...chooseArrivalCuts(context)];
+  return cuts;
 }
 
 /** A pipelined request makes no progress while the one before it does, so that
@@ -178,23 +176,3 @@
         getProgressMs(a) - getProgressMs(b),
     );
 }
-
-/** Answers whose size is not stated may exceed what was admitted. */
-function chooseArrivalCuts({requests, limits, nowMs}: CutContext): MemoryCut[] {
-  const arriving = [...requests]
-    .filter(([, {arrivedBytes}]) => arrivedBytes > 0)
-    .sort(([, a], [, b]) => b.arrivedBytes - a.arrivedBytes);
-  let allBytes = arriving.reduce(
-    (sum, [, {arrivedBytes}]) => sum + arrivedBytes,
-    0,
-  );
-  const cuts: MemoryCut[] = [];
-  for (const [id, {stage, arrivedBytes, progressAtMs}] of arriving) {
-    if (allBytes <= limits.hardBytes) break;
-    const idleMs = nowMs - progressAtMs;
-    const reason = 'hard-limit';
-    cuts.push({id, stage, bytes: arrivedBytes, idleMs, reason});
-    allBytes -= arrivedBytes;
-  }
-  return cuts;
-}
--- a/packages/runtime/src/exchange_memory.ts
+++ b/packages/runtime/src/exchange_memory.ts
@@ -17,7 +17,7 @@
 import {describeError} from './describe_error';
 import type {EventLog} from './log';
 import type {Metrics} from './metrics';
-import {ArrivalQueue} from './arrival_queue';
+import {ArrivalBoard} from './answer_arrivals';
 import {HeldExchange} from './held_exchange';
 import {GarbageCollector} from './garbage_collector';
 import {dropBody} from './read_body';
@@ -44,7 +44,7 @@
   private readonly account: MemoryAccount;
   private readonly exchanges = new Map<number, HeldExchange>();
   private readonly paused = new Set<HeldExchange>();
-  private readonly arrivals: ArrivalQueue;
+  private readonly arrivals: ArrivalBoard;
   private level: MemoryLevel = 'normal';
   private readonly connections = new WeakMap<Socket, number>();
   private lastConnection = 0;
@@ -54,11 +54,12 @@
 
   private constructor(private readonly options: ExchangeMemoryOptions) {
     this.account = MemoryAccount.create(options.limits);
-    const {softBytes, hardBytes} = options.limits;
-    const waitingBytes = Number.isFinite(hardBytes)
-      ? hardBytes - softBytes
-      : Infinity;
-    this.arrivals = ArrivalQueue.create(waitingBytes);
+    const {log, metrics, limits} = options;
+    const {softBytes} = limits;
+    this.arrivals = ArrivalBoard.create({
+      ...{limits, log, metrics},
+      onBytes: bytes => this.countBytes(bytes),
+    });
     this.collector = GarbageCollector.create(softBytes * GARBAGE_SHARE);
   }
 
@@ -117,10 +118,6 @@
       {
         countBytes: bytes => this.countBytes(bytes),
         arrivals: this.arrivals,
-        refuseArrival: (id, bytes) =>
-          this.cutConnection({
-            ...{id, bytes, stage: 'running', idleMs: 0, reason: 'hard-limit'},
-          }),
       },
     );
     this.exchanges.set(id, exchange);
@@ -134,7 +131,8 @@
   /** Counts bytes that came in, and cuts connections if they are too many. */
   private countBytes(bytes: number): void {
     if (this.account.hasExcess()) this.cutConnections();
-    this.collector.addBytes(bytes, this.account.getAllBytes());
+    const heldBytes = this.account.getHeldBytes() + this.arrivals.getBytes();
+    this.collector.addBytes(bytes, heldBytes);
   }
 
   /** Cuts those that make no progress before one that comes next is refused. */
@@ -163,8 +161,6 @@
     this.account.endRequest(id);
     this.exchanges.delete(id);
     this.paused.delete(exchange);
-    this.arrivals.remove(id);
-    this.arrivals.advance();
   }
 
   /** Returns the bytes held and the limits, for tests and metrics. */
@@ -179,7 +175,6 @@
     this.reportLevel();
     this.cutConnections();
     this.resumeBodies();
-    this.arrivals.advance();
     const {heldBytes, estimatedBytes, softBytes, hardBytes} = this.describe();
     metrics.setGauge('held_bytes', {}, heldBytes);
     metrics.setGauge('held_bytes_corrected', {}, estimatedBytes);
@@ -191,7 +186,8 @@
   private measure(): void {
     const {measureBytes = measureBuffers, log} = this.options;
     try {
-      this.account.updateMeasured(measureBytes());
+      const arrivingBytes = this.arrivals.getBytes();
+      this.account.updateMeasured(Math.max(0, measureBytes() - arrivingBytes));
       this.isMeasured = true;
     } catch (error) {
       const detail = describeError(error);
--- a/packages/runtime/src/held_exchange.ts
+++ b/packages/runtime/src/held_exchange.ts
@@ -9,8 +9,8 @@
   createError,
 } from '@sassafrasspan/core';
 import type {Result} from 'neverthrow';
-import type {ArrivalQueue} from './arrival_queue';
-import type {AnswerMeter} from './http_call';
+import type {AnswerMeter, ArrivalHandlers, ArrivalMeter} from './http_call';
+import type {ArrivalBoard} from './answer_arrivals';
 import {readBody} from './read_body';
 
 /** Time in which a body must be complete, in ms. */
@@ -21,8 +21,7 @@
 /** What exchanges share with the memory of the process. */
 export interface SharedMemory {
   readonly countBytes: (bytes: number) => void;
-  readonly arrivals: ArrivalQueue;
-  readonly refuseArrival: (id: number, bytes: number) => void;
+  readonly arrivals: ArrivalBoard;
 }
 
 interface Exchange {
@@ -127,23 +126,14 @@
     request.resume();
   }
 
-  admitArrival(bytes: number, start: () => void): void {
-    const {id} = this.exchange;
-    const isAdmitted = this.shared.arrivals.add({
-      id,
-      bytes,
-      canStart: () => this.account.canArrive(bytes),
-      start: () => {
-        this.recordArrived(bytes);
-        start();
-      },
-    });
-    if (!isAdmitted) this.shared.refuseArrival(id, bytes);
-  }
-
-  recordArrived(bytes: number): void {
-    const added = this.account.setArrivedBytes(this.exchange.id, bytes);
-    this.shared.countBytes(added);
+  openArrival(
+    source: string,
+    statedBytes: number,
+    handlers: ArrivalHandlers,
+  ): ArrivalMeter {
+    const {arrivals} = this.shared;
+    const {requestId} = this.exchange;
+    return arrivals.openArrival(requestId, source, statedBytes, handlers);
   }
 
   /** Writes an answer whose headers are set and ends the response. */
--- a/packages/runtime/src/http_call.ts
+++ b/packages/runtime/src/http_call.ts
@@ -41,11 +41,29 @@
 
 /** Decides when a response body is read, and follows it. */
 export interface AnswerMeter {
-  /** Calls `start` once a body of the stated size, 0 if unknown, may be read. */
-  admitArrival(bytes: number, start: () => void): void;
-  /** Takes in the size of the body as far as it is known: what its head states, or
-   * what has arrived if that is more. */
+  /** Announces a body of the peer at `source`, `host:port`; `statedBytes` is 0 if its
+   * size is not known. */
+  openArrival(
+    source: string,
+    statedBytes: number,
+    handlers: ArrivalHandlers,
+  ): ArrivalMeter;
+}
+
+/** What a meter decides on a body. */
+export interface ArrivalHandlers {
+  /** The body may be read. */
+  readonly start: () => void;
+  /** The body must not be read on: the call fails. */
+  readonly drop: (detail: string) => void;
+}
+
+/** Follows one body. */
+export interface ArrivalMeter {
+  /** Takes in the number of bytes that have arrived. */
   recordArrived(bytes: number): void;
+  /** The body is complete, or the call has failed; later calls have no effect. */
+  end(): void;
 }
 
 /** A complete response. */
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -14,7 +14,9 @@
 import {BodyBuffer} from './body_buffer';
 import {isValidStatus} from './http_status';
 import {isDelimitedByClose, waitForEnd} from './http_response_end';
+import {formatAddress} from './peer_address';
 import type {
+  ArrivalMeter,
   HttpCall,
   HttpFailure,
   HttpFailureReason,
@@ -86,22 +88,30 @@
       activeCall.start(message => {
         const {maxBodyBytes = DEFAULT_MAX_BODY_BYTES} = call;
         const statedBytes = Number(message.headers['content-length'] ?? 0);
-        const expectedBytes = Math.min(statedBytes, maxBodyBytes);
-        const body = BodyBuffer.create(expectedBytes);
+        if (statedBytes > maxBodyBytes) {
+          return activeCall.failOversized(`body of ${statedBytes} bytes`);
+        }
+        const body = BodyBuffer.create(statedBytes);
         const readChunk = (chunk: Buffer) => {
           if (activeCall.hasEnded()) return;
           body.append(chunk);
-          call.answerMeter?.recordArrived(
-            Math.max(expectedBytes, body.getLength()),
-          );
+          activeCall.arrival?.recordArrived(body.getLength());
+          if (activeCall.hasEnded()) return void body.clear();
           if (body.getLength() <= maxBodyBytes) return;
           body.clear();
           activeCall.failOversized(`body of over ${maxBodyBytes} bytes`);
         };
-        const startReading = () => void message.on('data', readChunk);
-        const {answerMeter} = call;
-        if (answerMeter === undefined) startReading();
-        else answerMeter.admitArrival(expectedBytes, startReading);
+        const start = () => void message.on('data', readChunk);
+        const {answerMeter, address} = call;
+        if (answerMeter === undefined) start();
+        else {
+          const drop = (detail: string) => activeCall.reject(detail);
+          const source = formatAddress(address);
+          activeCall.arrival = answerMeter.openArrival(source, statedBytes, {
+            start,
+            drop,
+          });
+        }
         waitForEnd(message, activeCall.handleReset, () => {
           activeCall.finish();
           resolve(
@@ -187,6 +197,8 @@
 
 /** State and timers of one call until it finishes or fails. */
 class ActiveCall {
+  /** Follows the body of the response, if that is metered. */
+  arrival: ArrivalMeter | undefined;
   private readonly request: ClientRequest;
   private isSent = false;
   private isAnswered = false;
@@ -304,6 +316,7 @@
 
   finish(): void {
     this.isFinished = true;
+    this.arrival?.end();
     this.stopTimers();
     this.options.signal?.removeEventListener('abort', this.cancel);
   }
@@ -322,7 +335,7 @@
   }
 
   /** Fails since the response is not one that this node takes. */
-  private reject(detail: string): void {
+  reject(detail: string): void {
     this.isRejected = true;
     this.fail('broken', detail);
   }
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -26,6 +26,8 @@
     'Connections cut to release memory, by reason and by what was held.',
   endpoint_sends_held_total:
     'Requests not sent to an endpoint that has enough bytes from this node.',
+  answers_dropped_total:
+    'Answers not read on since their endpoint held most of the memory for answers.',
   endpoints_leaving_total:
     'Endpoints that said in an answer that they leave, before it was known.',
   held_bytes: 'Bytes of bodies and answers that are held for callers.',
