Parse nothing more of connections that the guard closes

Cause: Node parses a whole read of 64 KB, some 700 requests, although the connection is destroyed at the 17th; their objects stay until the end of the pass of the event loop, which reads the other connections first. The heap of 110 MB is full within seconds.

With the handler skipped alone the process ended still, with the parser stopped it lives. The new case of connection_guard.test.ts failed before, 2,000 requests were parsed.

Change: closing a connection stops its parser; the guard calls the server's handler for the requests that it admits.

--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -78,11 +78,9 @@
   ) {
     this.server = createServer({keepAliveTimeout: KEEP_ALIVE_MS});
     const {maxConnections = Infinity, metrics} = bounds;
-    ConnectionGuard.attach(this.server, {
-      ...{port: 'peers', maxConnections, clock: SYSTEM_CLOCK, log, metrics},
-    });
-    this.server.on('request', (request, response) => {
-      void this.handle(request, response);
+    const guard = {port: 'peers', maxConnections, clock: SYSTEM_CLOCK, log};
+    ConnectionGuard.attach(this.server, {...guard, metrics}, (...exchange) => {
+      void this.handle(...exchange);
     });
   }
 
--- a/packages/runtime/src/connection_guard.test.ts
+++ b/packages/runtime/src/connection_guard.test.ts
@@ -3,17 +3,20 @@
  * connections that keep ordinary callers out, against many requests sent at once,
  * and against a connection that stays out of reach after a refusal.
  */
+import {Server} from 'node:http';
 import {Socket, connect} from 'node:net';
 import {SYSTEM_CLOCK, waitMs} from './clock';
 import {DEFAULT_HTTP_LIMITS, HttpServer, Route, sendJson} from './http_server';
 import type {EventLog} from './log';
 import {Metrics} from './metrics';
 
+/** Number of requests that were handled and held. */
+let handled = 0;
 const HOST = '127.0.0.1';
 const MAX_CONNECTIONS = 4;
 const ROUTES: Route[] = [
   {method: '*', path: '/', handler: ({response}) => sendJson(response, 200, 1)},
-  {method: '*', path: '/held', handler: () => undefined},
+  {method: '*', path: '/held', handler: () => void (handled += 1)},
 ];
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
@@ -88,6 +91,20 @@
   expect(metrics.getCount('connections_closed_total', labels)).toBe(1);
 });
 
+// Guards against processes that run out of memory: what a connection had sent before
+// it was closed was handled all the same.
+test('requests of a connection that was closed are neither parsed nor handled', async () => {
+  handled = 0;
+  const emit = jest.spyOn(Server.prototype, 'emit');
+  const many = open(REQUEST.replace('/ ', '/held ').repeat(2_000));
+  await waitUntil(() => many.socket.destroyed);
+  await waitMs(100);
+  const names = emit.mock.calls.map(([name]) => String(name));
+  const parsed = names.filter(name => name === 'request').length;
+  emit.mockRestore();
+  expect({handled, parsed}).toEqual({handled: 16, parsed: 17});
+});
+
 test('a connection that was answered before its body ended gives way', async () => {
   const early = Array.from({length: MAX_CONNECTIONS}, () =>
     open('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nx'),
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -4,7 +4,12 @@
  * of connections chooses; refusals are logged in sums, so that a crowd fills no
  * log.
  */
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import {Clock, ConnectionTable, Eviction} from '@sassafrasspan/core';
 import type {EventLog} from './log';
@@ -48,6 +53,15 @@
   maxWaitedMs: number;
 }
 
+/** The parser of a connection; a part of Node that is not documented. */
+interface RequestParser {
+  /** Called with each request; the result says how to go on. */
+  onIncoming: () => number;
+}
+
+/** Result after which what follows is not parsed, as after an upgrade. */
+const NO_MORE_REQUESTS = 2;
+
 /** Guards the connections of one server. */
 export class ConnectionGuard {
   private readonly table: ConnectionTable;
@@ -60,13 +74,18 @@
     this.table = ConnectionTable.create(options.maxConnections);
   }
 
-  /** Guards a server from its next connection on. */
-  static attach(server: Server, options: GuardOptions): ConnectionGuard {
+  /** Guards a server from its next connection on. `handle` is called with each
+   * request that the guard admits. */
+  static attach(
+    server: Server,
+    options: GuardOptions,
+    handle: RequestListener,
+  ): ConnectionGuard {
     const guard = new ConnectionGuard(options);
     server.on('connection', socket => guard.open(socket));
-    server.prependListener('request', (request, response) =>
-      guard.startRequest(request, response),
-    );
+    server.on('request', (request, response) => {
+      if (guard.startRequest(request, response)) handle(request, response);
+    });
     server.on('error', error => {
       const {port, log} = options;
       // Whoever starts the server reports a port that cannot be bound.
@@ -104,15 +123,18 @@
     }
   }
 
+  /** Returns false if the connection of the request is closed. */
   private startRequest(
     request: IncomingMessage,
     response: ServerResponse,
-  ): void {
+  ): boolean {
     const connection = this.bySocket.get(request.socket);
-    if (connection === undefined || request.socket.destroyed) return;
+    if (request.socket.destroyed) return false;
+    if (connection === undefined) return true;
     connection.openRequests += 1;
     if (connection.openRequests > MAX_PIPELINED_REQUESTS) {
-      return this.closeConnection(connection.id, 'pipelined', 0);
+      this.closeConnection(connection.id, 'pipelined', 0);
+      return false;
     }
     const {id} = connection;
     connection.response = response;
@@ -128,6 +150,7 @@
         this.startStage(connection, isIdle ? 'idle' : 'running');
       }
     });
+    return true;
   }
 
   private startStage(
@@ -199,10 +222,19 @@
     metrics?.addCount('connections_closed_total', {port, reason});
     this.table.close(id);
     this.connections.delete(id);
+    stopParser(connection.socket);
     connection.socket.destroy();
   }
 }
 
+/** Keeps Node from parsing what it has read of a closed connection. One read can hold
+ * hundreds of requests, whose objects stay until the connections that were read in
+ * the same pass of the event loop are closed at its end. */
+function stopParser(socket: Socket): void {
+  const {parser} = socket as Socket & {parser?: RequestParser | null};
+  if (parser) parser.onIncoming = () => NO_MORE_REQUESTS;
+}
+
 function hasBody(request: IncomingMessage): boolean {
   const {headers} = request;
   const length = Number(headers['content-length'] ?? 0);
--- a/packages/runtime/src/http_server.ts
+++ b/packages/runtime/src/http_server.ts
@@ -2,7 +2,13 @@
  * HTTP server with a route table, limits on headers, bodies and slow senders,
  * JSON responses and a graceful close.
  */
-import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+  createServer,
+} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {ErrorKind, ServiceError, createError} from '@sassafrasspan/core';
@@ -100,14 +106,13 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     });
-    if (limits.guard !== undefined) {
-      ConnectionGuard.attach(server, limits.guard);
-    }
     const created = new HttpServer(server, routes, limits);
-    server.on('request', (request, response) => {
+    const handle: RequestListener = (request, response) => {
       created.trackResponse(response);
       void created.handleRequest(request, response);
-    });
+    };
+    if (limits.guard === undefined) server.on('request', handle);
+    else ConnectionGuard.attach(server, limits.guard, handle);
     server.on('clientError', (error: ClientError, socket) => {
       created.answerClientError(error, socket);
     });
