Admit no request on a connection that was answered with a refusal

Cause: the 408 for a late head ends one direction of the connection; Node goes on to parse, and emits the request when its head is complete.

--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -123,13 +123,15 @@
     }
   }
 
-  /** Returns false if the connection of the request is closed. */
+  /** Returns false if the connection of the request is closed, or nothing can be
+   * written to it any more: it has been answered with a refusal. */
   private startRequest(
     request: IncomingMessage,
     response: ServerResponse,
   ): boolean {
     const connection = this.bySocket.get(request.socket);
-    if (request.socket.destroyed) return false;
+    const {destroyed, writableEnded} = request.socket;
+    if (destroyed || writableEnded) return false;
     if (connection === undefined) return true;
     connection.openRequests += 1;
     if (connection.openRequests > MAX_PIPELINED_REQUESTS) {
