--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -65,11 +65,17 @@
     }
   /** The call did not run and will not. `other-instance`: another server than
    * the expected endpoint received it. `held-back`: it was not sent, since this
-   * node has enough bytes in flight there. */
+   * node has enough bytes in flight there. `unsendable`: HTTP does not allow its path
+   * or a header. */
   | {
       readonly type: 'not-run';
       readonly reason:
-        'full' | 'held-back' | 'unreachable' | 'other-instance' | 'cancelled';
+        | 'full'
+        | 'held-back'
+        | 'unreachable'
+        | 'other-instance'
+        | 'cancelled'
+        | 'unsendable';
       readonly load: ReportedLoad | undefined;
       /** As in an answer; undefined also if the endpoint has not replied. */
       readonly limit?: number;
--- a/packages/calls/src/pending_call.ts
+++ b/packages/calls/src/pending_call.ts
@@ -18,6 +18,13 @@
 import type {AttemptOutcome, EndpointAnswer, MatchedCall} from './call_types';
 import type {CallForwarderOptions, CallResult} from './forwarder_options';
 
+/** What a call that did not run says of its endpoint, by reason; that it is full for
+ * all others. */
+const NOT_RUN_OUTCOMES: Readonly<Record<string, 'failed' | 'neutral'>> = {
+  unreachable: 'failed',
+  unsendable: 'neutral',
+};
+
 export class PendingCall {
   /** Attempts in progress. */
   private readonly attempts = new Set<AbortController>();
@@ -166,7 +173,7 @@
       const outcome = reply.answer.status < 500 ? 'answered' : 'failed';
       pool.recordEnd(endpoint.id, outcome, tookMs, nowMs, reply.load);
     } else if (reply.type === 'not-run') {
-      const outcome = reply.reason === 'unreachable' ? 'failed' : 'full';
+      const outcome = NOT_RUN_OUTCOMES[reply.reason] ?? 'full';
       pool.recordEnd(endpoint.id, outcome, tookMs, nowMs, reply.load);
     } else {
       const outcome = this.isOver ? 'neutral' : 'failed';
--- a/packages/runtime/src/http_call.ts
+++ b/packages/runtime/src/http_call.ts
@@ -94,9 +94,10 @@
  * Why a call failed. `refused`: no connection could be made. `unreachable`:
  * connecting timed out. `timeout`: the call's time limit passed. `broken`: the
  * connection broke, or the response was invalid or belonged to another call.
+ * `unsendable`: HTTP does not allow the path or a header, so that nothing was sent.
  */
 export type HttpFailureReason =
-  'refused' | 'unreachable' | 'timeout' | 'broken' | 'cancelled';
+  'refused' | 'unreachable' | 'timeout' | 'broken' | 'cancelled' | 'unsendable';
 
 /** A call that ended without a complete response. */
 export interface HttpFailure {
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -12,6 +12,7 @@
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
 import {BodyBuffer} from './body_buffer';
+import {describeError} from './describe_error';
 import {isValidStatus} from './http_status';
 import {isDelimitedByClose, waitForEnd} from './http_response_end';
 import {formatAddress} from './peer_address';
@@ -82,10 +83,10 @@
     agent: Agent | false,
   ): Promise<Result<HttpReply, HttpFailure>> {
     return new Promise(resolve => {
-      const activeCall = ActiveCall.create(call, agent, failure =>
+      const activeCall = createCall(call, agent, failure =>
         resolve(err(failure)),
       );
-      activeCall.start(message => {
+      activeCall?.start(message => {
         const {maxBodyBytes = DEFAULT_MAX_BODY_BYTES} = call;
         const statedBytes = Number(message.headers['content-length'] ?? 0);
         if (statedBytes > maxBodyBytes) {
@@ -138,11 +139,11 @@
   ): Promise<Result<HttpStream, HttpFailure>> {
     return new Promise(resolve => {
       let isOpen = false;
-      const activeCall = ActiveCall.create(call, this.agent, failure => {
+      const activeCall = createCall(call, this.agent, failure => {
         if (isOpen) listener.onFailure(failure);
         else resolve(err(failure));
       });
-      activeCall.start(message => {
+      activeCall?.start(message => {
         isOpen = true;
         activeCall.stopTimers();
         waitForEnd(message, activeCall.handleReset, () => {
@@ -195,6 +196,24 @@
   return {...retry, reason, isSent: true, detail};
 }
 
+/** Creates a call; fails it if Node does not accept its path or headers. */
+function createCall(
+  call: HttpCall,
+  agent: Agent | false,
+  onFailure: (failure: HttpFailure) => void,
+): ActiveCall | undefined {
+  try {
+    return ActiveCall.create(call, agent, onFailure);
+  } catch (error) {
+    onFailure({
+      ...{reason: 'unsendable', isSent: false, isAnswered: false},
+      ...{isReused: false, isPortClosed: false, isOversized: false},
+      ...{isRejected: false, detail: describeError(error)},
+    });
+    return undefined;
+  }
+}
+
 /** State and timers of one call until it finishes or fails. */
 class ActiveCall {
   /** Follows the body of the response, if that is metered. */
