Take no stated size for that of a body that a response does not have

Found while reading the diff: the answer to HEAD, and 304, state the size that a body would have. The board of arriving answers gets a file name of its own, arrival_board.ts.

--- a/packages/harness/src/invalid_statuses.test.ts
+++ b/packages/harness/src/invalid_statuses.test.ts
@@ -6,7 +6,7 @@
 import type {HttpWork, RunSink} from '@sassafrasspan/core';
 import {EngineClient} from '@sassafrasspan/engines';
 import {ObjectClient} from '@sassafrasspan/platform';
-import {HttpClient} from '@sassafrasspan/runtime';
+import {BoundedAnswer, HttpClient} from '@sassafrasspan/runtime';
 import {ScoringClient} from '@sassafrasspan/scoring';
 import {ServiceClient} from '@sassafrasspan/services';
 
@@ -101,3 +101,27 @@
     await callService(url),
   ]).toEqual([status, status, status]);
 });
+
+// Guards against a refusal of answers whose heads state the size of a body that they
+// do not have.
+test('the answer to HEAD may state any size', async () => {
+  const port = await listen('200', '');
+  server.removeAllListeners('connection');
+  server.on('connection', socket => {
+    socket.once('data', () =>
+      socket.end('HTTP/1.1 200 X\r\nContent-Length: 100000000000\r\n\r\n'),
+    );
+  });
+  const client = HttpClient.create();
+  const reply = await client.call({
+    address: {host: '127.0.0.1', port},
+    ...{method: 'HEAD', path: '/', timeoutMs: TIMEOUT_MS},
+  });
+  client.close();
+  expect(reply.isOk() && reply.value.status).toBe(200);
+  const answer = await BoundedAnswer.request(`http://127.0.0.1:${port}`, {
+    ...{method: 'HEAD', maxBytes: 1_000},
+    signal: AbortSignal.timeout(TIMEOUT_MS),
+  });
+  expect(await answer.readText()).toBe('');
+});
--- a/packages/runtime/src/bounded_answer.ts
+++ b/packages/runtime/src/bounded_answer.ts
@@ -27,6 +27,7 @@
   private constructor(
     private readonly reply: Dispatcher.ResponseData,
     private readonly maxBytes: number,
+    private readonly method: string,
   ) {}
 
   /**
@@ -50,7 +51,7 @@
         controller.abort(new Error('interim responses without end'));
       },
     });
-    const answer = new BoundedAnswer(reply, maxBytes);
+    const answer = new BoundedAnswer(reply, maxBytes, options.method ?? 'GET');
     answer.checkHead();
     return answer;
   }
@@ -85,7 +86,11 @@
   }
 
   private checkHead(): void {
-    const statedBytes = Number(this.headers['content-length'] ?? 0);
+    // Without a body, the head states the size that one would have.
+    const hasBody = this.method !== 'HEAD' && this.status !== 304;
+    const statedBytes = hasBody
+      ? Number(this.headers['content-length'] ?? 0)
+      : 0;
     if (!isValidStatus(this.status)) {
       this.reject(new Error(`invalid status ${this.status}`));
     }
--- a/packages/runtime/src/exchange_memory.ts
+++ b/packages/runtime/src/exchange_memory.ts
@@ -17,7 +17,7 @@
 import {describeError} from './describe_error';
 import type {EventLog} from './log';
 import type {Metrics} from './metrics';
-import {ArrivalBoard} from './answer_arrivals';
+import {ArrivalBoard} from './arrival_board';
 import {HeldExchange} from './held_exchange';
 import {GarbageCollector} from './garbage_collector';
 import {dropBody} from './read_body';
--- a/packages/runtime/src/held_exchange.ts
+++ b/packages/runtime/src/held_exchange.ts
@@ -10,7 +10,7 @@
 } from '@sassafrasspan/core';
 import type {Result} from 'neverthrow';
 import type {AnswerMeter, ArrivalHandlers, ArrivalMeter} from './http_call';
-import type {ArrivalBoard} from './answer_arrivals';
+import type {ArrivalBoard} from './arrival_board';
 import {readBody} from './read_body';
 
 /** Time in which a body must be complete, in ms. */
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -32,6 +32,7 @@
 const DEFAULT_MAX_BODY_BYTES = 67_108_864;
 /** Maximum number of interim responses (1xx) before a response. */
 const MAX_INTERIM_RESPONSES = 8;
+const STATUS_NOT_MODIFIED = 304;
 /** Idle connections kept open per peer. */
 const MAX_FREE_SOCKETS = 32;
 /** Idle time after which the kernel sends TCP keep-alive probes. */
@@ -88,7 +89,7 @@
       );
       activeCall?.start(message => {
         const {maxBodyBytes = DEFAULT_MAX_BODY_BYTES} = call;
-        const statedBytes = Number(message.headers['content-length'] ?? 0);
+        const statedBytes = readStatedBytes(call, message);
         if (statedBytes > maxBodyBytes) {
           return activeCall.failOversized(`body of ${statedBytes} bytes`);
         }
@@ -183,6 +184,16 @@
   this.destroy();
 }
 
+/** Returns the stated size of a body in bytes; 0 if it is not known, or if the
+ * response has no body whatever its headers state. */
+function readStatedBytes(
+  {method}: HttpCall,
+  {headers, statusCode}: IncomingMessage,
+): number {
+  if (method === 'HEAD' || statusCode === STATUS_NOT_MODIFIED) return 0;
+  return Number(headers['content-length'] ?? 0);
+}
+
 /** Returns whether the peer had probably closed a reused connection. */
 function isStaleConnection(failure: HttpFailure): boolean {
   return failure.reason === 'broken' && failure.isReused && !failure.isAnswered;
