Drop the body of a request that the guard does not admit

Callers would see: an entry that ends beside bodies in very small chunks, while the machine is so busy that heads come late and are answered 408.

Cause: since such a request is not handled, so that nobody reads its body; each chunk of 1 byte is kept as an object until the parser is full.

The new case of refused_heads.test.ts failed before.

Change: the body is read and dropped, in turns as that of any refused request.

--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -14,6 +14,7 @@
 import {Clock, ConnectionTable, Eviction} from '@sassafrasspan/core';
 import type {EventLog} from './log';
 import type {Metrics} from './metrics';
+import {dropBody} from './read_body';
 
 /** Interval at which progress is sampled and refusals are logged, in ms. */
 const SAMPLE_INTERVAL_MS = 500;
@@ -85,6 +86,7 @@
     server.on('connection', socket => guard.open(socket));
     server.on('request', (request, response) => {
       if (guard.startRequest(request, response)) handle(request, response);
+      else dropBody(request);
     });
     server.on('error', error => {
       const {port, log} = options;
