--- a/review/lib3/case_runner.ts
+++ b/review/lib3/case_runner.ts
@@ -73,6 +73,11 @@
     code = EXIT_NOT_RUN;
     void stop();
   }, MAX_RUN_MS);
+  process.on('uncaughtException', error => {
+    record.write(`could not run: ${error.stack}`);
+    code = EXIT_NOT_RUN;
+    void stop();
+  });
   process.on('SIGTERM', () => void stop());
   process.on('SIGINT', () => void stop());
   try {
