--- a/review/13/run.ts
+++ b/review/13/run.ts
@@ -1,7 +1,7 @@
 /**
- * Each of two servers spoils one of 34 answers: within the stream, the number of
- * the weight version is no number. From then on the coordinator gets no updates
- * of the server's agent, and no item of the trainer's step is placed any more.
+ * Two servers, one after the other, spoil one of 34 answers: within the stream, the
+ * number of the weight version is no number. From then on the coordinator gets no
+ * updates of the server's agent, and no item of the trainer's step is placed any more.
  */
 import type {
   ExecutedRun,
@@ -19,45 +19,70 @@
   waitFor,
 } from '../lib3/case_runner';
 
-const FIRST_STEP = {jobId: 'c13c13c13c13c130', items: 56};
-const SECOND_STEP = {jobId: 'c13c13c13c13c131', items: 72};
+const FIRST_STEP = {jobId: 'c13c13c13c13c130', items: 96};
+const SECOND_STEP = {jobId: 'c13c13c13c13c131', items: 96};
 /** Time that the trainer gives a step, in ms: that of the sheets. */
 const STEP_MS = 12_000;
 /** Time at no server that breaks the rule, in ms. */
 const UNPLACED_MS = 5_000;
-/** Time for which the servers spoil answers, in ms, and which of their answers
- * it is: the sheets have up to 6.91 s and 0.03 of the answers. */
+/** Longest time for which a server spoils answers, in ms, and which of its answers
+ * since then it is: the sheets have up to 6.91 s and 0.03 of the answers. */
 const GARBLE_MS = 6_500;
 const SPOILT_ANSWER = 34;
+/** `contact_ms`, from the last disturbance on. */
+const CONTACT_MS = 3_000;
 /** Both servers have 4 slots. */
 const SLOTS = 8;
 
-/** Makes a server spoil one answer. */
-function garble(server: ModelServerStandin, record: CaseRecord, n: number) {
-  let answers = 0;
-  server.chooseFault = itemId => {
-    answers += 1;
-    if (answers !== SPOILT_ANSWER) return undefined;
-    record.write(`server ${n} spoils its answer to ${itemId}`);
-    return (response, {resumedAfter, text}) => {
-      response.writeHead(200, {
-        'content-type': 'text/event-stream',
-        'request-id': itemId,
-        'server-stamp': 'x',
-        'weight-versions': '1',
-      });
-      for (let event = resumedAfter + 1; event <= text.length; event++) {
-        const isSpoilt = event === resumedAfter + 2;
-        const head = isSpoilt ? 'weight-versions: \u00a71\n' : '';
-        response.write(`${head}id: ${event}\ndata: ${text[event - 1]}\n\n`);
-      }
-      response.end();
+/** Makes a server spoil one answer; resolves when it is sound again. */
+function garble(
+  server: ModelServerStandin,
+  record: CaseRecord,
+  n: number,
+): Promise<void> {
+  return new Promise(resolve => {
+    let answers = 0;
+    const end = () => {
+      clearTimeout(timer);
+      server.chooseFault = () => undefined;
+      record.write(`server ${n} spoils no more answers`);
+      resolve();
+    };
+    const timer = setTimeout(end, GARBLE_MS);
+    record.write(`server ${n} may spoil answers`);
+    server.chooseFault = itemId => {
+      answers += 1;
+      if (answers !== SPOILT_ANSWER) return undefined;
+      record.write(`server ${n} spoils its answer to ${itemId}`);
+      end();
+      return (response, {resumedAfter, text}) => {
+        response.writeHead(200, {
+          'content-type': 'text/event-stream',
+          'request-id': itemId,
+          'server-stamp': 'x',
+          'weight-versions': '1',
+        });
+        for (let event = resumedAfter + 1; event <= text.length; event++) {
+          const isSpoilt = event === resumedAfter + 2;
+          const head = isSpoilt ? 'weight-versions: \u00a71\n' : '';
+          response.write(`${head}id: ${event}\ndata: ${text[event - 1]}\n\n`);
+        }
+        response.end();
+      };
     };
-  };
-  setTimeout(() => {
-    server.chooseFault = () => undefined;
-    record.write(`server ${n} spoils no more answers`);
-  }, GARBLE_MS);
+  });
+}
+
+/** Lets one server after the other spoil an answer; never two at once. */
+async function playGarbles(
+  models: readonly ModelServerStandin[],
+  record: CaseRecord,
+  onEnd: () => void,
+): Promise<void> {
+  for (const [index, server] of models.entries()) {
+    await garble(server, record, index + 1);
+  }
+  onEnd();
 }
 
 /** Reads a step as a trainer does, until it is complete or out of time. */
@@ -95,8 +120,12 @@
     await wait(2_500);
     const firstIds = createItemIds('c0de', FIRST_STEP.items);
     const secondIds = createItemIds('cafe', SECOND_STEP.items);
-    if (hasTrouble)
-      models.forEach((server, n) => garble(server, record, n + 1));
+    let calmFromMs = hasTrouble ? Infinity : 0;
+    if (hasTrouble) {
+      void playGarbles(models, record, () => {
+        calmFromMs = Date.now() + CONTACT_MS;
+      });
+    }
     await submitJob(client, record, FIRST_STEP.jobId, firstIds);
     await readStep(client, record, FIRST_STEP);
     record.write(`DELETE: ${await client.end(FIRST_STEP.jobId)}`);
@@ -118,7 +147,10 @@
     );
     client.close();
     const isHalfEmpty = inUse.length < SLOTS / 2;
+    const isSteady = quietFromMs >= calmFromMs;
     const isOutOfTime = listed < SECOND_STEP.items;
-    return isOutOfTime && hasBegun && unplaced.length > 0 && isHalfEmpty;
+    return (
+      isOutOfTime && isSteady && hasBegun && unplaced.length > 0 && isHalfEmpty
+    );
   },
 );
