Try held items of batch jobs again until their retention time is over

Cause: an item under which three endpoints have crashed is held, and its trials took their delays from a list of two; the third had an infinite one. An item whose two trials ended in crashes of the next bursts stayed held for an hour, in all jobs.

Change: the trials of an item go on, 4 s after the last crash or trial. The delay grows, up to a minute, only with crashes at about whose time no endpoint crashed that did not run the item, so that an item which does crash endpoints still reaches three of them in half a minute. Calls keep two trials: their callers have their answer.

--- a/packages/calls/src/crash_watch.ts
+++ b/packages/calls/src/crash_watch.ts
@@ -10,6 +10,7 @@
   CrashVerdict,
   EndpointEntry,
   EndpointLife,
+  RequestKind,
   classifyLife,
   formatCrashId,
 } from '@sassafrasspan/core';
@@ -84,9 +85,9 @@
     return this.exchange.createRoutes();
   }
 
-  decide(fingerprint: string, trialDelaysMs?: readonly number[]): CrashVerdict {
+  decide(fingerprint: string, kind?: RequestKind): CrashVerdict {
     const {clock} = this.options;
-    return this.records.decide(fingerprint, clock.readWallMs(), trialDelaysMs);
+    return this.records.decide(fingerprint, clock.readWallMs(), kind);
   }
 
   /** Returns whether endpoints have crashed under any request. */
@@ -98,13 +99,13 @@
   async claimTrial(
     fingerprint: string,
     requestId: string,
-    trialDelaysMs?: readonly number[],
+    kind?: RequestKind,
   ): Promise<boolean> {
     const {log, metrics} = this.options;
     const nowMs = this.options.clock.readWallMs();
     const id = `trial ${requestId} ${nowMs}`;
     const isGranted =
-      this.decide(fingerprint, trialDelaysMs) === 'trial-due' &&
+      this.decide(fingerprint, kind) === 'trial-due' &&
       (await this.exchange.claimTrial(fingerprint, id));
     metrics.addCount('crash_trials_total', {granted: String(isGranted)});
     log.writeEvent('trial-claimed', {requestId, fingerprint, isGranted});
--- a/packages/core/src/runs/crash_records.ts
+++ b/packages/core/src/runs/crash_records.ts
@@ -2,9 +2,10 @@
  * The crashes of endpoints under requests, as all nodes know them: records merge
  * in any order to the same state. A request under which `MAX_CRASHES` endpoints
  * have crashed is quarantined. As another cause may have ended the endpoints, it
- * is tried again some time after the last crash or trial. An answer
- * clears it everywhere; if it stays without one, it is refused until the record
- * expires.
+ * is tried again some time after the last crash or trial, and an answer clears it
+ * everywhere. A call that stays without one is refused until the record expires.
+ * An item of a batch job is owed: its trials go on, and become rare only if
+ * endpoints crash under it while no others do.
  */
 
 /** Endpoints that a request may crash before it is quarantined. */
@@ -12,8 +13,14 @@
 /** Time without a crash or trial before each trial of a call, in ms. With a request
  * that was on its way when it was quarantined, three retries reach endpoints. */
 export const CALL_TRIAL_DELAYS_MS: readonly number[] = [10_000, 60_000];
-/** The same for items of batch jobs, which are due within seconds. */
-export const ITEM_TRIAL_DELAYS_MS: readonly number[] = [4_000, 4_000];
+/** The same for items of batch jobs, which are due within seconds, by the number of
+ * lone crashes beyond those that quarantined the item; the last holds for all more. */
+export const ITEM_TRIAL_DELAYS_MS: readonly number[] = [
+  4_000, 4_000, 8_000, 16_000, 32_000, 60_000,
+];
+/** Time within which crashes of several endpoints have one cause, in ms: they are
+ * recorded when their connections break, or when their registrations end. */
+const COMMON_CAUSE_MS = 2_000;
 /** Time after the last crash or trial for which a record is kept, in ms. */
 const RECORD_TTL_MS = 3_600_000;
 /** Maximum number of records; those with the fewest crashes are dropped first. */
@@ -40,6 +47,9 @@
  * crashed under it, refuse it, or send it as a trial to find out. */
 export type CrashVerdict = 'sound' | 'suspect' | 'quarantined' | 'trial-due';
 
+/** What a request is: a call, or an item of a batch job. */
+export type RequestKind = 'call' | 'item';
+
 /** The parts of a record that no answer has cleared. */
 function selectValid({crashes, trials, cleared}: CrashRecord) {
   const isValid = ({id}: CrashEntry) => !cleared.includes(id);
@@ -76,9 +86,26 @@
   return isSame ? known : {...known, crashes, trials, cleared};
 }
 
+type TrialDelayFunction = (
+  crashes: readonly CrashEntry[],
+  trials: readonly CrashEntry[],
+) => number;
+
 /** Records by fingerprint. Times are Unix ms: nodes share the records. */
 export class CrashRecords {
   private readonly records = new Map<string, CrashRecord>();
+  /** Time without a crash or trial before the next trial of a quarantined request,
+   * in ms, by its kind. */
+  private readonly trialDelays: Readonly<
+    Record<RequestKind, TrialDelayFunction>
+  > = {
+    call: (_, trials) => CALL_TRIAL_DELAYS_MS[trials.length] ?? Infinity,
+    item: crashes => {
+      const excess = this.countLoneCrashes(crashes) - MAX_CRASHES;
+      const index = Math.min(ITEM_TRIAL_DELAYS_MS.length - 1, excess);
+      return ITEM_TRIAL_DELAYS_MS[Math.max(0, index)];
+    },
+  };
 
   private constructor() {}
 
@@ -127,7 +154,7 @@
   decide(
     fingerprint: string,
     nowMs: number,
-    trialDelaysMs = CALL_TRIAL_DELAYS_MS,
+    kind: RequestKind = 'call',
   ): CrashVerdict {
     const record = this.records.get(fingerprint);
     if (record === undefined) return 'sound';
@@ -135,7 +162,7 @@
     const {crashes, trials} = selectValid(record);
     if (crashes.length === 0 || sinceMs > RECORD_TTL_MS) return 'sound';
     if (crashes.length < MAX_CRASHES) return 'suspect';
-    const delayMs = trialDelaysMs[trials.length] ?? Infinity;
+    const delayMs = this.trialDelays[kind](crashes, trials);
     return sinceMs >= delayMs ? 'trial-due' : 'quarantined';
   }
 
@@ -169,6 +196,18 @@
     }
   }
 
+  /** Counts the crashes of a request at about whose time no endpoint crashed that
+   * did not run it. */
+  private countLoneCrashes(crashes: readonly CrashEntry[]): number {
+    const ownIds = new Set(crashes.map(({id}) => id));
+    const others = this.list()
+      .flatMap(record => record.crashes)
+      .filter(({id}) => !ownIds.has(id));
+    const isLone = ({atMs}: CrashEntry) =>
+      others.every(other => Math.abs(other.atMs - atMs) > COMMON_CAUSE_MS);
+    return crashes.filter(isLone).length;
+  }
+
   private add(record: CrashRecord): boolean {
     const {fingerprint} = record;
     const known = this.records.get(fingerprint) ?? createRecord(fingerprint);
--- a/packages/jobs/src/item_crash_guard.ts
+++ b/packages/jobs/src/item_crash_guard.ts
@@ -8,7 +8,6 @@
 import {
   Clock,
   EndpointEntry,
-  ITEM_TRIAL_DELAYS_MS,
   ItemRun,
   ItemState,
   JobState,
@@ -107,7 +106,7 @@
       return;
     }
     if (isOnTrial || item.phase === 'running') return;
-    const verdict = crashes.decide(fingerprint, ITEM_TRIAL_DELAYS_MS);
+    const verdict = crashes.decide(fingerprint, 'item');
     const isHeld = verdict === 'quarantined' || verdict === 'trial-due';
     if (isHeld !== item.isHeld) {
       item.isHeld = isHeld;
@@ -125,7 +124,7 @@
     const isGranted = await this.options.crashes.claimTrial(
       fingerprint,
       item.item.id,
-      ITEM_TRIAL_DELAYS_MS,
+      'item',
     );
     if (!isGranted) return;
     watched.isOnTrial = true;
