Acknowledge the end of a job only in the coordinator's own epoch

Cause: the coordinator's VM stood still while the call was on its way, another node claimed the role and read the job as open, and the first one, awake again, stored the end and answered as if it were still in office. The same holds for an end during a hand-over or a slow write, and for any call that is answered after the role was lost.

Change: after the write the coordinator's record is read from the store; with a later epoch, or without an answer, the end is not acknowledged (event 519) and the entry goes to the successor. Since an epoch begins before the successor reads the jobs, an end that is acknowledged is one that it has read. Answers of a node that lost the role meanwhile are dropped in the same way. It costs a read of the store for each end.

--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -256,6 +256,12 @@
     level: 'info',
     meaning: 'A trainer has ended a batch job.',
   },
+  'job-end-unconfirmed': {
+    number: 519,
+    level: 'warn',
+    meaning:
+      'The end of a batch job is stored, but not acknowledged: another node may be the coordinator.',
+  },
   'job-adopted': {
     number: 512,
     level: 'info',
--- a/packages/jobs/src/coordinator_role.ts
+++ b/packages/jobs/src/coordinator_role.ts
@@ -201,14 +201,36 @@
     };
   }
 
-  private callCoordinator(
+  /** Calls the coordinator. The answer counts only if the role was not lost in the
+   * meantime: the state that it is taken from is no longer that of the jobs. */
+  private async callCoordinator(
     call: (coordinator: JobCoordinator) => CallAnswer,
   ): CallAnswer {
-    if (this.coordinator === undefined || !this.isServing) {
-      const detail = `${this.options.name} is not the coordinator`;
-      return Promise.resolve(err(createError('not-home', detail)));
+    const {coordinator} = this;
+    const detail = `${this.options.name} is not the coordinator`;
+    if (coordinator === undefined || !this.isServing) {
+      return err(createError('not-home', detail));
     }
-    return call(this.coordinator);
+    const answer = await call(coordinator);
+    if (this.coordinator === coordinator) return answer;
+    return err(createError('not-home', detail, {outcome: 'unknown'}));
+  }
+
+  /** Reads from the store whether this node is still the coordinator in an epoch. */
+  private async verifyEpoch(
+    epoch: number,
+  ): Promise<Result<void, ServiceError>> {
+    const {cluster} = this.options;
+    if (!(await cluster.readCoordinator())) {
+      return err(
+        createError('platform-down', 'the coordinator is not readable'),
+      );
+    }
+    const newest = cluster.getCoordinator()?.record.epoch ?? 0;
+    if (newest <= epoch) return ok(undefined);
+    const detail = `another node is the coordinator in epoch ${newest}`;
+    if (this.coordinator?.getEpoch() === epoch) this.stopCoordinator(detail);
+    return err(createError('not-home', detail, {outcome: 'unknown'}));
   }
 
   /** Becomes the coordinator after this node has won an epoch. */
@@ -225,6 +247,7 @@
       findBounds: job => this.findBounds(job),
       crashes: this.crashes,
       findEndpoint: id => this.fleet.endpoints.find(id),
+      verifyEpoch: () => this.verifyEpoch(record.epoch),
       onSuperseded: detail => {
         if (this.coordinator === coordinator) this.stopCoordinator(detail);
       },
--- a/packages/jobs/src/job_coordinator.ts
+++ b/packages/jobs/src/job_coordinator.ts
@@ -230,7 +230,8 @@
   }
 
   /** Ends a job; resolves when the end is stored and the agents have answered
-   * the orders to stop, or had time to. */
+   * the orders to stop, or had time to. A successor reads the stored jobs once, when
+   * its epoch begins, so that only an end stored before that is known to it. */
   async end({jobId, customer}: EndCall): CallResult<object> {
     const served = await this.findJobOf(jobId, customer);
     if (served.isErr()) return err(served.error);
@@ -244,8 +245,21 @@
       this.endWriter.write(jobId),
       this.links.waitForOrders(ORDERS_WAIT_MS),
     ]);
-    if (ended.isOk()) served.value.isEndConfirmed = true;
-    return ended.map(() => ({}));
+    if (ended.isErr()) return err(ended.error);
+    const confirmed = await this.options.verifyEpoch();
+    if (confirmed.isErr()) {
+      const {kind, detail} = confirmed.error;
+      const fields = {
+        requestId: jobId,
+        epoch: this.options.epoch,
+        kind,
+        detail,
+      };
+      this.options.log.writeEvent('job-end-unconfirmed', fields);
+      return err(confirmed.error);
+    }
+    served.value.isEndConfirmed = true;
+    return ok({});
   }
 
   private readMs(): number {
--- a/packages/jobs/src/job_coordinator_options.ts
+++ b/packages/jobs/src/job_coordinator_options.ts
@@ -6,9 +6,11 @@
   EndpointEntry,
   RouteBurnTracker,
   SchedulingPolicy,
+  ServiceError,
 } from '@sassafrasspan/core';
 import type {PeerClient} from '@sassafrasspan/peers';
 import type {EventLog, Metrics} from '@sassafrasspan/runtime';
+import type {Result} from 'neverthrow';
 import type {JobStore} from './job_store';
 import type {ScoringCaller} from './scoring_caller';
 
@@ -31,6 +33,9 @@
   readonly crashes: CrashWatch;
   /** Returns a registered endpoint that takes work. */
   readonly findEndpoint: (id: string) => EndpointEntry | undefined;
+  /** Reads from the store whether this is still the coordinator's epoch; fails with
+   * `not-home` if a later one has begun. */
+  readonly verifyEpoch: () => Promise<Result<void, ServiceError>>;
   /** Called when a later coordinator has taken over. */
   readonly onSuperseded: (detail: string) => void;
 }
--- a/packages/jobs/src/served_job.ts
+++ b/packages/jobs/src/served_job.ts
@@ -28,7 +28,8 @@
 export class ServedJob {
   /** On the monotonic clock. */
   lastUsedAtMs = 0;
-  /** Whether the end of the job is stored and the agents were notified. */
+  /** Whether the end of the job is stored, the agents were notified, and no later
+   * coordinator had read the job as open. */
   isEndConfirmed = false;
   readonly state: JobState;
   readonly writer: JobWriter;
