Break off runs with spoilt weight versions, and read updates one by one

Cause: the number became NaN in the agent and null in its answer to the coordinator, whose schema refused the answer as a whole. The coordinator lost the agent, asked for everything anew and got the same answer until the run was forgotten.

The coordinator reads updates one by one; a run whose update is odd is stopped, released and its item retried (event 509, run_updates_rejected_total), since agents with earlier software may send one.

--- a/packages/core/src/batch/batch_scheduler.ts
+++ b/packages/core/src/batch/batch_scheduler.ts
@@ -160,6 +160,14 @@
     this.jobs.finishRun(runId, jobId, itemId, 'not-run', nowMs);
   }
 
+  /** Stops a run of which an update can't be read, and lets its item be retried. */
+  rejectRun(endpointId: string, runId: string, nowMs: number): void {
+    const run = this.endpoints.find(endpointId)?.runs.get(runId);
+    const {jobId = '', itemId = ''} = run ?? {};
+    this.endpoints.stopRun(runId, endpointId);
+    this.jobs.finishRun(runId, jobId, itemId, 'broken', nowMs);
+  }
+
   /** Applies the answer of an agent: updates of its runs and the state of its
    * engine. */
   applySync(
--- a/packages/core/src/batch/run_messages.ts
+++ b/packages/core/src/batch/run_messages.ts
@@ -8,6 +8,7 @@
  * the work of the previous one.
  */
 import * as z from 'zod/mini';
+import {selectEntries} from '../shared/message_entries';
 import type {TextEvent} from './batch_types';
 
 /** Schema of an event: its data and its weight version. A tuple keeps the most
@@ -145,6 +146,36 @@
   engine: ENGINE_STATE_SCHEMA,
 });
 
+/** Schema of the same answer before its updates are read: one that can't be read must
+ * not cost those of other runs. */
+export const SYNC_ANSWER_FRAME_SCHEMA = z.extend(SYNC_ANSWER_SCHEMA, {
+  updates: z.array(z.unknown()),
+});
+
+/** An update that can't be read. */
+export interface RejectedUpdate {
+  /** Its run; undefined if that can't be read either. */
+  readonly runId: string | undefined;
+  readonly detail: string;
+}
+
+const RUN_ID_SCHEMA = z.object({runId: z.string()});
+
+/** Reads the updates of an answer. */
+export function readUpdates(values: readonly unknown[]): {
+  updates: RunUpdate[];
+  rejected: RejectedUpdate[];
+} {
+  const {entries, rejected} = selectEntries(RUN_UPDATE_SCHEMA, values);
+  return {
+    updates: entries,
+    rejected: rejected.map(({value, detail}) => {
+      const parsed = RUN_ID_SCHEMA.safeParse(value);
+      return {runId: parsed.data?.runId, detail};
+    }),
+  };
+}
+
 /** Schema of an agent's report on its last contact with a coordinator. */
 export const COORDINATOR_CONTACT_SCHEMA = z.object({
   epoch: z.number(),
--- a/packages/core/src/events/event_table.ts
+++ b/packages/core/src/events/event_table.ts
@@ -293,6 +293,12 @@
     meaning:
       'A new coordinator could not read the saved progress (checkpoint) of jobs; some items restart from the beginning.',
   },
+  'run-update-rejected': {
+    number: 509,
+    level: 'warn',
+    meaning:
+      "An agent's update of a run can't be read; the run is given up and its item retried.",
+  },
   'job-removed': {
     number: 516,
     level: 'info',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -56,6 +56,7 @@
 export * from './runs/isolation_queue';
 export * from './shared/clock';
 export * from './shared/hash';
+export * from './shared/message_entries';
 export * from './shared/platform_objects';
 export * from './weights/activation_wave';
 export * from './weights/fetch_plan';
--- a/packages/jobs/src/agent_link.ts
+++ b/packages/jobs/src/agent_link.ts
@@ -7,9 +7,11 @@
   AgentCommands,
   Clock,
   EndpointOrders,
-  SYNC_ANSWER_SCHEMA,
+  RejectedUpdate,
+  SYNC_ANSWER_FRAME_SCHEMA,
   ServiceError,
   SyncAnswer,
+  readUpdates,
 } from '@sassafrasspan/core';
 import {DONE_SCHEMA} from './job_messages';
 import type {PeerClient} from '@sassafrasspan/peers';
@@ -36,7 +38,11 @@
   readonly epoch: number;
   readonly peers: PeerClient;
   readonly clock: Clock;
-  readonly onSynced: (answer: SyncAnswer) => void;
+  /** Receives an answer, and what of it could not be read. */
+  readonly onSynced: (
+    answer: SyncAnswer,
+    rejected: readonly RejectedUpdate[],
+  ) => void;
   readonly onLost: (detail: string) => void;
   /** Called when the agent reports that a later coordinator has taken over. */
   readonly onSuperseded: (detail: string) => void;
@@ -126,7 +132,7 @@
         waitMs: SYNC_WAIT_MS,
         isAnew: this.isLost,
       },
-      schema: SYNC_ANSWER_SCHEMA,
+      schema: SYNC_ANSWER_FRAME_SCHEMA,
       timeoutMs: SYNC_WAIT_MS + SYNC_MARGIN_MS,
       signal: this.controller.signal,
     });
@@ -148,7 +154,8 @@
     this.lastSequence = reply.value.sequence;
     this.agentTimeMs = reply.value.tick;
     this.agentTimeReadAtMs = nowMs;
-    this.options.onSynced(reply.value);
+    const {updates, rejected} = readUpdates(reply.value.updates);
+    this.options.onSynced({...reply.value, updates}, rejected);
     return true;
   }
 
--- a/packages/jobs/src/agent_links.ts
+++ b/packages/jobs/src/agent_links.ts
@@ -7,11 +7,13 @@
   BatchScheduler,
   EndpointOrders,
   BatchEndpointRegistration,
+  RejectedUpdate,
   SyncAnswer,
 } from '@sassafrasspan/core';
 import type {PeerClient} from '@sassafrasspan/peers';
 import {
   EventLog,
+  Metrics,
   PeerAddress,
   formatAddress,
   waitMs,
@@ -31,6 +33,7 @@
   readonly peers: PeerClient;
   readonly clock: Clock;
   readonly log: EventLog;
+  readonly metrics: Metrics;
   /** Called after every change that may need a new plan. */
   readonly onChanged: () => void;
   /** Called when an agent reports that a later coordinator has taken over. */
@@ -136,7 +139,10 @@
       epoch,
       peers,
       clock,
-      onSynced: answer => this.applySync(endpointId, answer),
+      onSynced: (answer, rejected) => {
+        this.applySync(endpointId, answer);
+        for (const update of rejected) this.rejectUpdate(endpointId, update);
+      },
       onLost: detail => this.loseAgent(endpointId, detail),
       onSuperseded: detail => this.options.onSuperseded(detail),
     });
@@ -167,6 +173,20 @@
     onChanged();
   }
 
+  /** Gives up a run of which an update can't be read: what its text lacks never
+   * comes again. */
+  private rejectUpdate(endpointId: string, update: RejectedUpdate): void {
+    const {runId, detail} = update;
+    const {log, metrics, scheduler, onChanged} = this.options;
+    metrics.addCount('run_updates_rejected_total');
+    const fields = {run: runId, endpoint: endpointId, detail};
+    log.writeEvent('run-update-rejected', fields);
+    if (runId === undefined) return;
+    scheduler.rejectRun(endpointId, runId, this.readMs());
+    this.agents.get(endpointId)?.link.releaseRuns([runId]);
+    onChanged();
+  }
+
   /** Detects a restarted agent, whose earlier runs are lost. */
   private trackIncarnation(
     endpointId: string,
--- a/packages/jobs/src/job_coordinator.ts
+++ b/packages/jobs/src/job_coordinator.ts
@@ -64,7 +64,7 @@
       onRunEnded: (...run) => this.guard.recordRunEnd(...run),
       createRunId: () => `${options.epoch}.${(this.runCount += 1)}`,
     });
-    const {name, epoch, jobStore, peers, clock, log, onSuperseded} = options;
+    const {jobStore, clock} = options;
     this.checkpoint = CheckpointWriter.create({
       listJobs: () => this.scheduler.listOpenJobs(),
       ...{jobStore, clock},
@@ -79,13 +79,8 @@
       onChanged: () => this.requestPlan(),
     });
     this.links = AgentLinks.create({
-      name,
-      epoch,
+      ...options,
       scheduler: this.scheduler,
-      peers,
-      clock,
-      log,
-      onSuperseded,
       onChanged: () => this.requestPlan(),
     });
   }
