Drop answers of a coordinator that was replaced since the call was made

Cause: an entry passed on whatever came back, although it had heard of a later epoch in the meantime. Calls about jobs may all be repeated.

--- a/packages/jobs/src/job_client.ts
+++ b/packages/jobs/src/job_client.ts
@@ -249,9 +249,8 @@
     call: CoordinatorCall<T>,
   ): Promise<Result<T, ServiceError>> {
     const {cluster, peers, random} = this.options;
-    const address = parseAddress(
-      cluster.getCoordinator()?.record.address ?? '',
-    );
+    const called = cluster.getCoordinator()?.record;
+    const address = parseAddress(called?.address ?? '');
     if (address === undefined) {
       return err(createError('not-home', 'no batch-job coordinator is known'));
     }
@@ -267,7 +266,11 @@
     if (reply.isErr() && COORDINATOR_LOST_KINDS.has(reply.error.kind)) {
       await this.refreshCoordinator(isRelayed, reply.error);
     }
-    return reply;
+    // A coordinator that stood still may answer from what it knew before.
+    const epoch = cluster.getCoordinator()?.record.epoch;
+    if (reply.isErr() || epoch === called?.epoch) return reply;
+    const detail = `coordinator in epoch ${epoch} since the call was made`;
+    return err(createError('not-home', detail, {outcome: 'unknown'}));
   }
 
   /**
