--- a/packages/runtime/src/http_client.test.ts
+++ b/packages/runtime/src/http_client.test.ts
@@ -222,3 +222,11 @@
   };
   expect([await call('a'), await call('b')]).toEqual(['a', 'broken']);
 });
+
+// Guards against runs that end at once since their time is over 24 days.
+test('a call with a very long time limit times out at once', async () => {
+  await listen(socket => setTimeout(() => socket.write(FRAMED), 50));
+  for (const timeoutMs of [2 ** 31, Infinity]) {
+    expect(await callServer(timeoutMs)).toBe('complete: body');
+  }
+});
--- a/packages/runtime/src/http_client.ts
+++ b/packages/runtime/src/http_client.ts
@@ -26,6 +26,8 @@
   StreamListener,
 } from './http_call';
 
+/** Longest delay of a timer of Node, in ms; longer ones end at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
 /** Time to open a connection: several round trips between regions. */
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
 /** Maximum size of a buffered response body, in bytes. */
@@ -330,7 +332,10 @@
     reason: HttpFailureReason,
     detail: string,
   ): NodeJS.Timeout {
-    const timer = setTimeout(() => this.fail(reason, detail), delayMs);
+    const timer = setTimeout(
+      () => this.fail(reason, detail),
+      Math.min(delayMs, MAX_TIMER_MS),
+    );
     this.timers.push(timer);
     return timer;
   }
