--- a/packages/core/src/batch/run_starter.ts
+++ b/packages/core/src/batch/run_starter.ts
@@ -10,6 +10,8 @@
 
 /** Priority of items at an endpoint: the middle of its scale. */
 const ITEM_PRIORITY = 5;
+/** Longest time of a run, in ms: a day. Messages can't state an infinite one. */
+const MAX_RUN_MS = 86_400_000;
 
 export interface RunStarterOptions {
   readonly jobs: JobRegistry;
@@ -98,7 +100,7 @@
       headers,
       body,
       prior: item.events.map(event => [event.data, event.version]),
-      leftMs: Math.max(1, leftMs),
+      leftMs: Math.min(MAX_RUN_MS, Math.max(1, leftMs)),
       priority: ITEM_PRIORITY,
     };
   }
