--- a/packages/core/src/calls/endpoint_selector.ts
+++ b/packages/core/src/calls/endpoint_selector.ts
@@ -30,11 +30,14 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
-  /** How many times as long as usual work takes at present; undefined if the
-   * endpoint does not report it. */
+  /** How many times as long as usual work takes at present, within the bounds;
+   * undefined if the endpoint does not report it. */
   readonly slowness?: number;
 }
 
+/** Bounds of a reported slowness; one beyond them is an error. */
+export const SLOWNESS_BOUNDS = {min: 0.01, max: 1_000} as const;
+
 /**
  * How a call at an endpoint ended. `answered` ends an ejection and updates the
  * latency; `failed` ejects the endpoint. `full` (the endpoint did not run the
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -26,6 +26,8 @@
     'Connections cut to release memory, by reason and by what was held.',
   endpoint_sends_held_total:
     'Requests not sent to an endpoint that has enough bytes from this node.',
+  endpoint_loads_rejected_total:
+    'Answers whose stated load can not be read, which were used without it.',
   answers_dropped_total:
     'Answers not read on since their endpoint held most of the memory for answers.',
   endpoints_leaving_total:
