Read capacity samples and estimates of other nodes one by one

One sample or estimate that JSON can't express (nodes with earlier software send them after a spoilt load) cost a whole push of 32 samples, or the answer with the estimates of 32 endpoints; the cursor did not advance, so that the node got the same answer again.

Change: entries are read one by one, those that can't be read are left out and counted in capacity_rejected_total; a slowness out of bounds is one of them, as it would make a sum infinite.

--- a/packages/calls/src/capacity_sharing.ts
+++ b/packages/calls/src/capacity_sharing.ts
@@ -12,6 +12,8 @@
   MAX_ANSWERED_DIGESTS,
   MAX_PUSHED_SAMPLES,
   RandomSource,
+  SLOWNESS_BOUNDS,
+  selectEntries,
 } from '@sassafrasspan/core';
 import {
   ClusterWatch,
@@ -40,32 +42,34 @@
   tookMs: z.number(),
   concurrency: z.number(),
   slots: z.number(),
-  slowness: z.optional(z.number()),
+  slowness: z.optional(
+    z.number().check(z.gte(SLOWNESS_BOUNDS.min), z.lte(SLOWNESS_BOUNDS.max)),
+  ),
   ageMs: z.number(),
 });
+/** The samples are read one by one: one that can't be read must not cost those of
+ * other endpoints. */
 const PUSH_SCHEMA = z.object({
-  samples: z.array(SAMPLE_SCHEMA).check(z.maxLength(MAX_PUSHED_SAMPLES)),
+  samples: z.array(z.unknown()).check(z.maxLength(MAX_PUSHED_SAMPLES)),
   hub: z.string(),
   cursor: z.number(),
 });
 const KNEES_SCHEMA = z.array(z.number()).check(z.maxLength(MAX_KNEES));
+const DIGEST_SCHEMA = z.object({
+  id: z.string(),
+  weight: z.number(),
+  sums: KNEES_SCHEMA,
+  squares: KNEES_SCHEMA,
+  meanLoad: z.number(),
+  meanSlowness: z.number(),
+  slownessWeight: z.number(),
+  ageMs: z.number(),
+});
+/** The estimates are read one by one, like the samples. */
 const REPLY_SCHEMA = z.object({
   hub: z.string(),
   cursor: z.number(),
-  digests: z
-    .array(
-      z.object({
-        id: z.string(),
-        weight: z.number(),
-        sums: KNEES_SCHEMA,
-        squares: KNEES_SCHEMA,
-        meanLoad: z.number(),
-        meanSlowness: z.number(),
-        slownessWeight: z.number(),
-        ageMs: z.number(),
-      }),
-    )
-    .check(z.maxLength(MAX_ANSWERED_DIGESTS)),
+  digests: z.array(z.unknown()).check(z.maxLength(MAX_ANSWERED_DIGESTS)),
 });
 
 export interface CapacitySharingOptions {
@@ -116,8 +120,9 @@
     if (this.mode === 'off') return {};
     return {
       [PATH]: createHandler(PUSH_SCHEMA, push => {
+        const read = this.readEntries(SAMPLE_SCHEMA, push.samples, 'sample');
         // JSON leaves out a slowness that is undefined.
-        const samples = push.samples.map(sample => ({
+        const samples = read.map(sample => ({
           ...sample,
           slowness: sample.slowness,
         }));
@@ -162,7 +167,26 @@
     const result = reply.isOk() ? 'answered' : 'failed';
     metrics.addCount('capacity_pushes_total', {result});
     if (reply.isErr()) return;
-    const imported = pusher.acceptReply(reply.value, clock.readMonotonicMs());
+    const {value} = reply;
+    const digests = this.readEntries(DIGEST_SCHEMA, value.digests, 'estimate');
+    const imported = pusher.acceptReply(
+      {...value, digests},
+      clock.readMonotonicMs(),
+    );
     metrics.addCount('capacity_digests_total', {}, imported);
   }
+
+  /** Returns the entries of a list that can be read, and counts the others. */
+  private readEntries<T>(
+    schema: z.ZodMiniType<T>,
+    values: readonly unknown[],
+    entry: 'sample' | 'estimate',
+  ): T[] {
+    const {entries, rejected} = selectEntries(schema, values);
+    if (rejected.length > 0) {
+      const {metrics} = this.options;
+      metrics.addCount('capacity_rejected_total', {entry}, rejected.length);
+    }
+    return entries;
+  }
 }
--- a/packages/runtime/src/metric_table.ts
+++ b/packages/runtime/src/metric_table.ts
@@ -10,6 +10,8 @@
     'Calls sent to an endpoint to learn whether it has become faster.',
   capacity_pushes_total:
     'Pushes of capacity samples to the coordinator, by result.',
+  capacity_rejected_total:
+    'Capacity samples and estimates of other nodes that can not be read.',
   limited_answers_total: 'Answers of endpoints that state a rate limit.',
   limited_sends_denied_total:
     'Questions of this node that a keeper of a rate limit did not grant in full.',
