Make scoring calls of items again for as long as endpoints crash under them

Trainers: an item whose scoring call was on servers that crashed five times together with others got no score until its retention time was over.

Cause: scoring calls pass the forwarder of clients' calls, which has two trials; clients are told, an item is owed and nobody is told. Change: a call says whether it is owed, and an owed one has the trials of items.

--- a/packages/calls/src/call_forwarder.ts
+++ b/packages/calls/src/call_forwarder.ts
@@ -61,10 +61,12 @@
       return err(createError('no-endpoint', detail));
     }
     const {options} = this;
-    const verdict = options.crashes?.decide(fingerprint) ?? 'sound';
+    const {id, isOwed} = matched.call;
+    const kind = isOwed ? 'item' : 'call';
+    const verdict = options.crashes?.decide(fingerprint, kind) ?? 'sound';
     const mayRun =
       verdict === 'trial-due'
-        ? await options.crashes?.claimTrial(fingerprint, matched.call.id)
+        ? await options.crashes?.claimTrial(fingerprint, id, kind)
         : verdict !== 'quarantined';
     if (!mayRun) {
       return err(createError('crash-suspect', `fingerprint ${fingerprint}`));
--- a/packages/calls/src/call_types.ts
+++ b/packages/calls/src/call_types.ts
@@ -32,6 +32,9 @@
   /** Whether a second endpoint may be called while the first is slow; true by
    * default. */
   readonly mayHedge?: boolean;
+  /** Whether it is owed until it is answered, like an item of a batch job: it is tried
+   * again for as long as endpoints crash under it; false by default. */
+  readonly isOwed?: boolean;
   /** Id of the call that began the stream which this one takes up. */
   readonly resumes?: string;
   /** Whether it takes up a stream, also if it does not name the call. */
--- a/packages/jobs/src/scoring_caller.ts
+++ b/packages/jobs/src/scoring_caller.ts
@@ -105,6 +105,7 @@
         deadlineAtMs: clock.readMonotonicMs() + route.timeoutMs,
         signal,
         mayHedge,
+        isOwed: true,
         onAnswered: status => {
           if (status === STATUS_FAILURE) failures += 1;
         },
