--- a/packages/jobs/src/agent_links.test.ts
+++ b/packages/jobs/src/agent_links.test.ts
@@ -66,8 +66,7 @@
   expect(condition()).toBe(true);
 }
 
-// Guards against an agent that is lost, with all its runs, for one update that can't
-// be read.
+// Guards against an agent that is lost with all its runs for one odd update.
 test.each(['null', '1e400', '"1"'])(
   'an update with the weight version %s costs the updates of other runs',
   async version => {
--- a/packages/jobs/src/coordinator_role.test.ts
+++ b/packages/jobs/src/coordinator_role.test.ts
@@ -115,14 +115,14 @@
   return [first, TestNode.create('second')];
 }
 
+// Guards against a check of the epoch that refuses the end of a sound coordinator.
 test('the end of a job is not acknowledged by its coordinator', async () => {
   const [first] = await startJob();
   expect(getKind(await first.end())).toBe('ok');
   expect(getKind(await first.end())).toBe('ok');
 });
 
-// Guards against items that go on starting after the end of their job was
-// acknowledged by a node whose successor had read the job as open.
+// Guards against an end that is acknowledged and then unknown to the successor.
 test('a coordinator that stood still acknowledges the end of a job that its successor runs', async () => {
   const [first, second] = await startJob();
   await second.takeOver();
@@ -130,6 +130,7 @@
   expect(getKind(await second.end())).toBe('ok');
 });
 
+// Guards against a check of the epoch before the write instead of after it.
 test('an end is acknowledged although a successor read the job while it was written', async () => {
   const [first, second] = await startJob();
   let isHeld = true;
@@ -140,6 +141,7 @@
   expect(getKind(await first.end())).toBe('not-home');
 });
 
+// Guards against a promise of a node that gave up the role while it wrote.
 test('an end is acknowledged by a node that hands over meanwhile', async () => {
   const [first, second] = await startJob();
   let isHeld = true;
@@ -150,6 +152,7 @@
   expect(getKind(await first.end())).toBe('not-home');
 });
 
+// Guards against a read of the epoch that failed and counts as a confirmation.
 test('an end is acknowledged by a node that cannot read whether it was replaced', async () => {
   const [first] = await startJob();
   const {readObject} = store;
@@ -163,6 +166,7 @@
   expect(getKind(await first.end())).toBe('ok');
 });
 
+// Guards against an answer that was begun in the role and sent after it was lost.
 test('a read that waits at a node that hands over is answered with its old results', async () => {
   const [first] = await startJob();
   const read = first.read(0, 1_000);
--- a/packages/jobs/src/item_crash_guard.test.ts
+++ b/packages/jobs/src/item_crash_guard.test.ts
@@ -107,8 +107,7 @@
   expect(job.items.map(({phase}) => phase)).toEqual(['running', 'running']);
 });
 
-// Guards against items that are never sent again, and against ones that are sent to
-// endpoints again and again although nothing but them crashes endpoints.
+// Guards against trials that never come, or without end for an item that crashes.
 test('an item that alone crashes endpoints is given up, or sent too often', async () => {
   const job = GuardedJob.create();
   const [crashing] = job.items;
